Add the workspace, the schema and the core's interface

The core's events and actions, the cluster view and the placement by rendezvous hashing are its first code.

--- /dev/null
+++ b/packages/core/include/lovagemoor/core/action.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <lovagemoor/core/operator_call.hpp>
+#include <lovagemoor/core/outcome.hpp>
+#include <lovagemoor/core/peer_message.hpp>
+#include <lovagemoor/core/platform_call.hpp>
+#include <lovagemoor/core/target_job.hpp>
+
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+/// @file
+/// @brief Everything that the core can ask its driver to do.
+
+namespace lovagemoor::core {
+
+struct send_rows_to_caller {
+    request_id id = 0;
+    row_batch batch;
+};
+
+/// @brief Ends a caller's call.
+struct answer_caller {
+    request_id id = 0;
+    core::outcome result;
+    /// Sealed session token for the caller's next request.
+    std::string session_token;
+    /// Sealed transaction handle, only after a begin_request that is done.
+    std::string transaction;
+};
+
+/// @brief Sends a message to a host; delivery is not guaranteed.
+struct send_to_peer {
+    host_id to;
+    /// ZeroMQ endpoint of the receiver.
+    std::string address;
+    peer_message message;
+};
+
+struct open_connection {
+    connection_id connection = 0;
+    target_record target;
+};
+
+/// @brief Closes a connection; a running job's answer is dropped.
+struct close_connection {
+    connection_id connection = 0;
+};
+
+struct run_job {
+    connection_id connection = 0;
+    job_id job = 0;
+    target_job work;
+};
+
+/// @brief Calls a control function of a target over a control connection.
+struct call_control {
+    call_id call = 0;
+    target_record target;
+    control_call request;
+    /// After this time the driver reports control_unreachable and closes the connection.
+    duration timeout{0};
+};
+
+struct call_platform {
+    call_id call = 0;
+    platform_call request;
+};
+
+struct answer_operator {
+    call_id id = 0;
+    operator_result result;
+};
+
+/// @brief One log line; names and values are printed as key=value pairs.
+struct log_event {
+    enum class level : std::uint8_t { debug, info, warning, error };
+    level severity = level::info;
+    std::string name;
+    std::vector<std::pair<std::string, std::string>> fields;
+};
+
+/// @brief Adds to a counter of the host's metrics.
+struct count_metric {
+    std::string name;
+    std::vector<std::pair<std::string, std::string>> labels;
+    double value = 1;
+};
+
+/// @brief Observes a duration in a histogram of the host's metrics.
+struct observe_duration {
+    std::string name;
+    std::vector<std::pair<std::string, std::string>> labels;
+    duration value{0};
+};
+
+/// @brief All requests are finished and ownership is handed over; the process may exit.
+struct stop_process {};
+
+using action = std::variant<send_rows_to_caller, answer_caller, send_to_peer, open_connection,
+                            close_connection, run_job, call_control, call_platform, answer_operator,
+                            log_event, count_metric, observe_duration, stop_process>;
+
+using action_list = std::vector<action>;
+
+} // namespace lovagemoor::core
--- /dev/null
+++ b/packages/core/include/lovagemoor/core/placement.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <lovagemoor/core/ids.hpp>
+
+#include <string_view>
+#include <vector>
+
+namespace lovagemoor::core {
+
+/// @brief Ranks hosts for a key by rendezvous (highest random weight) hashing with XXH3.
+/// @param key What is placed, for example a target's identifier.
+/// @param hosts Candidates in any order.
+/// @return The candidates, best first. Removing a host moves only the keys it ranked first for.
+[[nodiscard]] std::vector<host_id> rank_hosts(std::string_view key, std::vector<host_id> hosts);
+
+/// @brief Selects one of a service's groups for a shard key by rendezvous hashing.
+/// @pre `groups` is not empty.
+[[nodiscard]] const group_id& select_group(std::string_view shard_key,
+                                           const std::vector<group_id>& groups);
+
+} // namespace lovagemoor::core
--- /dev/null
+++ b/packages/core/include/lovagemoor/core/platform_call.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <lovagemoor/core/peer_message.hpp>
+#include <lovagemoor/core/records.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace lovagemoor::core {
+
+/// @brief Reads the configuration document.
+struct read_configuration {};
+
+/// @brief Replaces the configuration document if its revision is still the expected one.
+struct swap_configuration {
+    /// Revision of the record to replace; 0 when the key must not exist.
+    std::int64_t expected_revision = 0;
+    configuration value;
+};
+
+/// @brief Reads a group's term record.
+struct read_term {
+    group_id group;
+};
+
+/// @brief Replaces a term record if its revision is still the expected one.
+struct swap_term {
+    std::int64_t expected_revision = 0;
+    term_record value;
+};
+
+/// @brief Reads all records: configuration, terms, groups and hosts.
+struct read_view {};
+
+/// @brief Starts or stops the watch on all records. Changes arrive as platform_changed events.
+struct set_watch {
+    bool enabled = false;
+};
+
+/// @brief Writes this host's record under /platform/hosts with a lease of the given length.
+struct register_host {
+    host_record host;
+    std::chrono::seconds lease{30};
+};
+
+using platform_call = std::variant<read_configuration, swap_configuration, read_term, swap_term,
+                                   read_view, set_watch, register_host>;
+
+/// @brief A record was read; unset when the key does not exist.
+struct platform_read {
+    std::optional<platform_record> record;
+};
+
+struct platform_view {
+    std::vector<platform_record> records;
+};
+
+/// @brief The compare failed or held; `current` is the record after the call.
+struct platform_swapped {
+    bool succeeded = false;
+    std::optional<platform_record> current;
+};
+
+/// @brief The call certainly had no effect.
+struct platform_unavailable {};
+
+/// @brief The call may have had its effect; read back before deciding.
+struct platform_unknown {};
+
+/// @brief set_watch or register_host succeeded.
+struct platform_ok {};
+
+using platform_result = std::variant<platform_read, platform_view, platform_swapped,
+                                     platform_unavailable, platform_unknown, platform_ok>;
+
+} // namespace lovagemoor::core
--- /dev/null
+++ b/packages/core/include/lovagemoor/core/target_job.hpp
@@ -0,0 +1,178 @@
+#pragma once
+
+#include <lovagemoor/core/ids.hpp>
+#include <lovagemoor/core/records.hpp>
+#include <lovagemoor/core/statement.hpp>
+#include <lovagemoor/core/time.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace lovagemoor::core {
+
+/// @brief Condition that the target checks in the same database transaction as the statement.
+struct read_guard {
+    term_number term = 0;
+    log_position position = 0;
+    /// Unset: no limit on the age of the data.
+    std::optional<std::chrono::milliseconds> max_age;
+
+    friend bool operator==(const read_guard&, const read_guard&) = default;
+};
+
+/// @brief Row that makes a write run at most once.
+struct idempotency_claim {
+    std::string key;
+    /// SHA-256 of service, shard key, SQL text and parameters, 64 hexadecimal digits.
+    std::string digest;
+    std::chrono::seconds retention{0};
+
+    friend bool operator==(const idempotency_claim&, const idempotency_claim&) = default;
+};
+
+/// @brief Guarded read in a database transaction of its own; rows arrive as job_rows.
+struct read_job {
+    core::statement statement;
+    read_guard guard;
+};
+
+/// @brief Write in a database transaction of its own, with an optional claim.
+struct write_job {
+    core::statement statement;
+    read_guard guard;
+    std::optional<idempotency_claim> claim;
+};
+
+/// @brief BEGIN, with an optional claim that covers the whole transaction.
+struct begin_job {
+    read_guard guard;
+    std::optional<idempotency_claim> claim;
+};
+
+/// @brief One statement in the connection's open transaction; rows arrive as job_rows.
+struct transaction_job {
+    core::statement statement;
+};
+
+/// @brief COMMIT followed by reading the log position.
+struct commit_job {
+    /// Key of the transaction's claim, empty without one.
+    std::string idempotency_key;
+};
+
+struct rollback_job {};
+
+/// @brief DISCARD ALL, before another session may use the connection.
+struct reset_job {};
+
+using target_job = std::variant<read_job, write_job, begin_job, transaction_job, commit_job,
+                                rollback_job, reset_job>;
+
+/// @brief The job ran to its end; for writes and commits COMMIT succeeded.
+struct job_done {
+    std::uint64_t row_count = 0;
+    std::uint64_t affected_rows = 0;
+    /// Term and position read in the job; zero for transaction, rollback and reset jobs.
+    term_number term = 0;
+    log_position position = 0;
+    /// Age of the data read; only for read jobs.
+    std::chrono::milliseconds age{0};
+    /// True when the claim existed and the stored answer was returned.
+    bool replayed = false;
+};
+
+/// @brief The target reported an error and nothing of the job took effect.
+struct job_error {
+    std::string sqlstate;
+    std::string message;
+};
+
+/// @brief The claim exists with another digest; nothing of the job took effect.
+struct job_claim_conflict {};
+
+/// @brief The claim of a begin_job exists: the transaction committed earlier.
+struct job_already_committed {
+    term_number term = 0;
+    log_position position = 0;
+};
+
+/// @brief The connection broke during the job.
+struct job_connection_lost {
+    /// False: no byte of the job was written to the connection.
+    bool sent = true;
+};
+
+using job_result = std::variant<job_done, job_error, job_claim_conflict, job_already_committed,
+                                job_connection_lost>;
+
+/// @brief SQLSTATEs of the platform's database groups and of PostgreSQL that decisions rest on.
+namespace sqlstate {
+inline constexpr const char* term_superseded = "DG001";
+inline constexpr const char* behind = "DG002";
+inline constexpr const char* diverged = "DG003";
+inline constexpr const char* too_old = "DG004";
+inline constexpr const char* read_only = "25006";
+inline constexpr const char* too_many_connections = "53300";
+} // namespace sqlstate
+
+/// @brief Calls to a group's control functions; they use a connection but no slot.
+struct status_call {};
+
+struct raise_call {
+    term_number term = 0;
+};
+
+struct promote_call {
+    term_number term = 0;
+};
+
+struct attest_call {
+    term_number term = 0;
+    log_position position = 0;
+    /// How long the target may wait until it holds the position.
+    std::chrono::milliseconds wait{0};
+};
+
+using control_call = std::variant<status_call, raise_call, promote_call, attest_call>;
+
+struct status_reply {
+    term_number promised_term = 0;
+    term_number last_term = 0;
+    log_position position = 0;
+    bool is_primary = false;
+    /// Upper bound of the age of the target's data; zero on a primary.
+    std::chrono::milliseconds age{0};
+    /// Time since the target last heard from the primary; zero on a primary.
+    std::chrono::milliseconds primary_silence{0};
+};
+
+/// @brief Reply to raise_call and attest_call.
+struct promise_reply {
+    term_number promised_term = 0;
+    term_number last_term = 0;
+    log_position position = 0;
+};
+
+struct promote_reply {
+    term_number term = 0;
+    log_position start_position = 0;
+};
+
+/// @brief The target answered with an error.
+struct control_error {
+    std::string sqlstate;
+};
+
+/// @brief No answer: the connection failed or the call timed out.
+struct control_unreachable {
+    /// True when the target refused the connection for lack of capacity (SQLSTATE 53300),
+    /// which is load and not a sign of failure.
+    bool capacity = false;
+};
+
+using control_result =
+    std::variant<status_reply, promise_reply, promote_reply, control_error, control_unreachable>;
+
+} // namespace lovagemoor::core
--- /dev/null
+++ b/packages/core/src/cluster_view.cpp
@@ -0,0 +1,310 @@
+#include <lovagemoor/core/cluster_view.hpp>
+
+#include <lovagemoor/core/placement.hpp>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace lovagemoor::core {
+
+namespace internal {
+
+template <typename Map, typename Key>
+const typename Map::mapped_type* find_in(const Map& map, const Key& key) noexcept {
+    const auto found = map.find(key);
+    return found == map.end() ? nullptr : &found->second;
+}
+
+struct key_of_record {
+    std::string operator()(const configuration& /*value*/) const { return configuration_key; }
+
+    std::string operator()(const term_record& value) const {
+        return terms_prefix + value.group.value;
+    }
+
+    std::string operator()(const group_record& value) const {
+        return groups_prefix + value.id.value;
+    }
+
+    std::string operator()(const host_record& value) const { return hosts_prefix + value.id.value; }
+};
+
+bool may_own_targets(const member_update& member) noexcept {
+    const bool running =
+        member.state == member_state::alive || member.state == member_state::suspect;
+    return running && !member.host.leaving;
+}
+
+} // namespace internal
+
+std::string record_key(const platform_record& record) {
+    return std::visit(internal::key_of_record{}, record.value);
+}
+
+cluster_view::cluster_view(host_record self, incarnation_number incarnation)
+    : self_{std::move(self)}, incarnation_{incarnation} {}
+
+const configuration& cluster_view::current_configuration() const noexcept {
+    return configuration_;
+}
+
+const service_record* cluster_view::find_service(const service_id& name) const noexcept {
+    for (const service_record& service : configuration_.services) {
+        if (service.name == name) {
+            return &service;
+        }
+    }
+    return nullptr;
+}
+
+const group_record* cluster_view::find_group(const group_id& group) const noexcept {
+    return internal::find_in(groups_, group);
+}
+
+const term_record* cluster_view::find_term(const group_id& group) const noexcept {
+    return internal::find_in(terms_, group);
+}
+
+const group_record* cluster_view::group_of(const target_id& target) const noexcept {
+    const group_id* group = internal::find_in(group_of_target_, target);
+    return group == nullptr ? nullptr : find_group(*group);
+}
+
+const target_record* cluster_view::find_target(const target_id& target) const noexcept {
+    const group_record* group = group_of(target);
+    if (group == nullptr) {
+        return nullptr;
+    }
+    for (const target_record& candidate : group->targets) {
+        if (candidate.id == target) {
+            return &candidate;
+        }
+    }
+    return nullptr;
+}
+
+const service_record* cluster_view::service_of(const group_id& group) const noexcept {
+    for (const service_record& service : configuration_.services) {
+        if (std::find(service.groups.begin(), service.groups.end(), group) !=
+            service.groups.end()) {
+            return &service;
+        }
+    }
+    return nullptr;
+}
+
+const target_record* cluster_view::primary_of(const group_id& group) const noexcept {
+    const term_record* term = find_term(group);
+    if (term == nullptr || term->phase != term_phase::serving) {
+        return nullptr;
+    }
+    return find_target(term->primary);
+}
+
+std::int64_t cluster_view::revision_of(const std::string& key) const noexcept {
+    const std::int64_t* revision = internal::find_in(revisions_, key);
+    return revision == nullptr ? 0 : *revision;
+}
+
+bool cluster_view::apply_configuration(const configuration& value) {
+    if (value.version <= configuration_.version) {
+        return false;
+    }
+    configuration_ = value;
+    return true;
+}
+
+bool cluster_view::apply(const platform_record& record) {
+    const std::string key = record_key(record);
+    if (record.revision <= revision_of(key)) {
+        return false;
+    }
+    if (const configuration* value = std::get_if<configuration>(&record.value)) {
+        if (!apply_configuration(*value)) {
+            return false;
+        }
+    } else if (const term_record* term = std::get_if<term_record>(&record.value)) {
+        term_record& held = terms_[term->group];
+        if (term->term < held.term) {
+            return false;
+        }
+        held = *term;
+    } else if (const group_record* group = std::get_if<group_record>(&record.value)) {
+        std::erase_if(group_of_target_,
+                      [group](const auto& entry) { return entry.second == group->id; });
+        for (const target_record& target : group->targets) {
+            group_of_target_[target.id] = group->id;
+        }
+        groups_[group->id] = *group;
+    } else if (const host_record* host = std::get_if<host_record>(&record.value)) {
+        listed_hosts_[host->id] = *host;
+        const auto found = members_.find(host->id);
+        if (found != members_.end()) {
+            found->second.host.leaving = found->second.host.leaving || host->leaving;
+        }
+    }
+    revisions_[key] = record.revision;
+    update_digest();
+    return true;
+}
+
+void cluster_view::update_digest() {
+    XXH3_state_t state;
+    XXH3_64bits_reset(&state);
+    for (const auto& [key, revision] : revisions_) {
+        XXH3_64bits_update(&state, key.data(), key.size() + 1);
+        XXH3_64bits_update(&state, &revision, sizeof revision);
+    }
+    digest_ = XXH3_64bits_digest(&state);
+}
+
+std::vector<platform_record> cluster_view::records() const {
+    std::vector<platform_record> result;
+    result.reserve(revisions_.size());
+    const auto add = [this, &result](const auto& value) {
+        platform_record record{0, value};
+        record.revision = revision_of(record_key(record));
+        result.push_back(std::move(record));
+    };
+    if (configuration_.version > 0) {
+        add(configuration_);
+    }
+    for (const auto& [id, term] : terms_) {
+        add(term);
+    }
+    for (const auto& [id, group] : groups_) {
+        add(group);
+    }
+    for (const auto& [id, host] : listed_hosts_) {
+        add(host);
+    }
+    return result;
+}
+
+const member_update* cluster_view::find_member(const host_id& host) const noexcept {
+    return internal::find_in(members_, host);
+}
+
+void cluster_view::set_member(const member_update& update) {
+    member_update& held = members_[update.host.id];
+    held = update;
+    const host_record* listed = internal::find_in(listed_hosts_, update.host.id);
+    if (listed != nullptr) {
+        held.host.leaving = held.host.leaving || listed->leaving;
+    }
+}
+
+void cluster_view::remove_member(const host_id& host) {
+    members_.erase(host);
+}
+
+std::vector<host_id> cluster_view::live_hosts() const {
+    std::vector<host_id> hosts;
+    if (!self_.leaving) {
+        hosts.push_back(self_.id);
+    }
+    for (const auto& [id, member] : members_) {
+        if (internal::may_own_targets(member)) {
+            hosts.push_back(id);
+        }
+    }
+    return hosts;
+}
+
+std::vector<host_id> cluster_view::live_hosts(const domain_id& domain) const {
+    std::vector<host_id> hosts = live_hosts();
+    std::erase_if(hosts, [this, &domain](const host_id& host) {
+        const member_update* member = find_member(host);
+        const domain_id& of_host = member == nullptr ? self_.domain : member->host.domain;
+        return of_host != domain;
+    });
+    return hosts;
+}
+
+std::optional<host_id> cluster_view::owner_of(const target_id& target) const {
+    const target_record* record = find_target(target);
+    if (record == nullptr) {
+        return std::nullopt;
+    }
+    std::vector<host_id> candidates = live_hosts(record->domain);
+    if (candidates.empty()) {
+        candidates = live_hosts();
+    }
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    return rank_hosts(target.value, std::move(candidates)).front();
+}
+
+std::vector<host_id> cluster_view::observers_of(const group_id& group, std::size_t count) const {
+    std::vector<host_id> observers;
+    const group_record* record = find_group(group);
+    if (record == nullptr) {
+        return observers;
+    }
+    std::set<host_id> chosen;
+    const auto add = [&observers, &chosen](const host_id& host) {
+        if (chosen.insert(host).second) {
+            observers.push_back(host);
+        }
+    };
+    for (const target_record& target : record->targets) {
+        const std::optional<host_id> owner = owner_of(target.id);
+        if (owner.has_value()) {
+            add(*owner);
+        }
+    }
+    for (const host_id& host : rank_hosts(group.value, live_hosts())) {
+        if (observers.size() >= count) {
+            break;
+        }
+        add(host);
+    }
+    return observers;
+}
+
+std::string cluster_view::peer_address(const host_id& host) const {
+    if (host == self_.id) {
+        return self_.peer_address;
+    }
+    const member_update* member = find_member(host);
+    if (member != nullptr) {
+        return member->host.peer_address;
+    }
+    const host_record* listed = internal::find_in(listed_hosts_, host);
+    return listed == nullptr ? std::string{} : listed->peer_address;
+}
+
+void cluster_view::observe(time_point now, const target_observation& observation) {
+    observed_target& held = observations_[observation.target];
+    held.observation = observation;
+    held.sampled_at = now;
+}
+
+const observed_target* cluster_view::find_observation(const target_id& target) const noexcept {
+    return internal::find_in(observations_, target);
+}
+
+position_standing cluster_view::check_position(const group_position& shown) const noexcept {
+    const term_record* record = find_term(shown.group);
+    const term_number known = record == nullptr ? 0 : record->term;
+    if (shown.term > known) {
+        return position_standing::ahead;
+    }
+    if (record == nullptr) {
+        return position_standing::valid;
+    }
+    for (const term_start& start : record->history) {
+        if (start.term > shown.term) {
+            return shown.position <= start.start ? position_standing::valid
+                                                 : position_standing::diverged;
+        }
+    }
+    return position_standing::valid;
+}
+
+} // namespace lovagemoor::core
