--- /dev/null
+++ b/packages/core/include/lovagemoor/core/acknowledger.hpp
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <lovagemoor/core/action.hpp>
+#include <lovagemoor/core/cluster_view.hpp>
+#include <lovagemoor/core/event.hpp>
+#include <lovagemoor/core/id_source.hpp>
+#include <lovagemoor/core/ids.hpp>
+#include <lovagemoor/core/settings.hpp>
+#include <lovagemoor/core/time.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace lovagemoor::core {
+
+/// @brief Asks whether a majority of a group's targets attests a term and a position.
+struct acknowledgement_request {
+    /// Unique among the requests that are not finished.
+    std::uint64_t id = 0;
+    group_id group;
+    term_number term = 0;
+    /// Position 0 asks only for the term: the promise counts, whatever the last entry is.
+    log_position position = 0;
+    /// False requires the position of the primary only.
+    bool position_on_replicas = true;
+    /// Attestations whose call was issued earlier do not count.
+    time_point not_before;
+    time_point deadline;
+};
+
+enum class acknowledgement_status : std::uint8_t {
+    acknowledged,
+    /// A target promised a later term.
+    superseded,
+    /// No majority attested by the deadline.
+    no_quorum,
+};
+
+struct acknowledgement {
+    std::uint64_t id = 0;
+    acknowledgement_status status = acknowledgement_status::no_quorum;
+};
+
+/// @brief Collects attestations of a group's targets for writes and reads.
+///
+/// All requests of a group share the attest calls: at most one call per target is outstanding, with
+/// the highest position that waits. An attestation counts for a request only if its call was issued
+/// at or after the request's `not_before`, so that it proves that the term was not replaced before
+/// the request's work was finished.
+class acknowledger {
+public:
+    /// @param settings Must outlive the object, like `view` and `ids`.
+    acknowledger(const core_settings& settings, const cluster_view& view, id_source& ids);
+
+    /// @brief Starts a request; its result appears in take_finished(), possibly at once.
+    void submit(time_point now, const acknowledgement_request& request, action_list& actions);
+
+    /// @return True if the call was issued by this object.
+    bool on_control_finished(time_point now, const control_finished& finished,
+                             action_list& actions);
+
+    void on_timer(time_point now, action_list& actions);
+
+    /// @return Requests that were finished since the last call, in the order of their end.
+    [[nodiscard]] std::vector<acknowledgement> take_finished();
+
+    /// @return When on_timer() is needed next, time_point::max() when never.
+    [[nodiscard]] time_point next_wakeup() const;
+
+private:
+    struct pending_request {
+        acknowledgement_request request;
+        /// Only calls with a higher number count; 0 when earlier attestations may be reused.
+        call_id issued_after = 0;
+    };
+
+    struct attestation {
+        call_id call = 0;
+        time_point issued_at;
+        promise_reply reply;
+    };
+
+    struct outstanding_call {
+        call_id call = 0;
+        time_point issued_at;
+        attest_call asked;
+    };
+
+    struct target_state {
+        std::optional<outstanding_call> outstanding;
+        /// No new call before this time, so that a target that cannot attest is not called in a
+        /// tight loop.
+        time_point retry_at;
+        std::optional<attestation> last;
+    };
+
+    struct group_state {
+        std::map<std::uint64_t, pending_request> pending;
+        std::map<target_id, target_state> targets;
+        time_point wakeup = time_point::max();
+    };
+
+    void advance(time_point now, const group_id& group, group_state& state, action_list& actions);
+    void finish_decided(time_point now, const group_record* group, group_state& state);
+    void issue_call(time_point now, const group_id& group_name, const target_record& target,
+                    group_state& group, action_list& actions);
+    [[nodiscard]] std::optional<attest_call> needed_call(const target_id& target,
+                                                         const group_state& state) const;
+    [[nodiscard]] std::optional<acknowledgement_status> decide(time_point now,
+                                                               const pending_request& pending,
+                                                               const group_record* group,
+                                                               const group_state& state) const;
+    [[nodiscard]] log_position position_needed(const acknowledgement_request& request,
+                                               const target_id& target) const;
+    [[nodiscard]] bool attests(const pending_request& pending, const target_id& target,
+                               const target_state& state) const;
+
+    const core_settings& settings_;
+    const cluster_view& view_;
+    id_source& ids_;
+    std::map<group_id, group_state> groups_;
+    std::map<call_id, std::pair<group_id, target_id>> calls_;
+    std::vector<acknowledgement> finished_;
+};
+
+} // namespace lovagemoor::core
--- a/packages/core/include/lovagemoor/core/cluster_view.hpp
+++ b/packages/core/include/lovagemoor/core/cluster_view.hpp
@@ -44,7 +44,10 @@
     void set_incarnation(incarnation_number value) noexcept { incarnation_ = value; }
 
     /// @brief Marks this host as leaving: it owns no targets from now on.
-    void set_leaving() noexcept { self_.leaving = true; }
+    void set_leaving() noexcept;
+
+    /// @return A number that grows whenever a record or the set of live hosts changes.
+    [[nodiscard]] std::uint64_t generation() const noexcept { return generation_; }
 
     [[nodiscard]] const configuration& current_configuration() const noexcept;
     [[nodiscard]] const service_record* find_service(const service_id& name) const noexcept;
@@ -118,6 +121,8 @@
     [[nodiscard]] position_standing check_position(const group_position& shown) const noexcept;
 
 private:
+    [[nodiscard]] std::optional<host_id> find_owner(const target_id& target) const;
+    void change_generation() noexcept;
     bool apply_configuration(const configuration& value);
     void update_digest();
 
@@ -132,6 +137,10 @@
     std::uint64_t digest_ = 0;
     std::map<host_id, member_update> members_;
     std::map<target_id, observed_target> observations_;
+    std::uint64_t generation_ = 0;
+    /// Owners computed since the last change of generation; ranking all hosts for each request
+    /// would cost time in proportion to the fleet.
+    mutable std::map<target_id, std::optional<host_id>> owners_;
 };
 
 /// @brief Keys of the platform's records.
--- a/packages/core/src/cluster_view.cpp
+++ b/packages/core/src/cluster_view.cpp
@@ -48,6 +48,16 @@
 cluster_view::cluster_view(host_record self, incarnation_number incarnation)
     : self_{std::move(self)}, incarnation_{incarnation} {}
 
+void cluster_view::set_leaving() noexcept {
+    self_.leaving = true;
+    change_generation();
+}
+
+void cluster_view::change_generation() noexcept {
+    ++generation_;
+    owners_.clear();
+}
+
 const configuration& cluster_view::current_configuration() const noexcept {
     return configuration_;
 }
@@ -149,6 +159,7 @@
     }
     revisions_[key] = record.revision;
     update_digest();
+    change_generation();
     return true;
 }
 
@@ -191,15 +202,24 @@
 
 void cluster_view::set_member(const member_update& update) {
     member_update& held = members_[update.host.id];
+    const bool owned_before = internal::may_own_targets(held);
+    const std::string address_before = held.host.peer_address;
     held = update;
     const host_record* listed = internal::find_in(listed_hosts_, update.host.id);
     if (listed != nullptr) {
         held.host.leaving = held.host.leaving || listed->leaving;
     }
+    const bool is_new = address_before.empty();
+    if (is_new || internal::may_own_targets(held) != owned_before ||
+        held.host.peer_address != address_before) {
+        change_generation();
+    }
 }
 
 void cluster_view::remove_member(const host_id& host) {
-    members_.erase(host);
+    if (members_.erase(host) > 0) {
+        change_generation();
+    }
 }
 
 std::vector<host_id> cluster_view::live_hosts() const {
@@ -226,6 +246,14 @@
 }
 
 std::optional<host_id> cluster_view::owner_of(const target_id& target) const {
+    const auto found = owners_.find(target);
+    if (found != owners_.end()) {
+        return found->second;
+    }
+    return owners_.emplace(target, find_owner(target)).first->second;
+}
+
+std::optional<host_id> cluster_view::find_owner(const target_id& target) const {
     const target_record* record = find_target(target);
     if (record == nullptr) {
         return std::nullopt;
