--- /dev/null
+++ b/packages/core/include/lovagemoor/core/retry_budget.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <algorithm>
+
+namespace lovagemoor::core {
+
+/// @brief Token bucket that limits retries to a share of the requests, so that retries cannot
+/// multiply the load of an overload.
+class retry_budget {
+public:
+    /// @param ratio Retries earned per request.
+    /// @param burst Most retries that can be saved up; the bucket starts full.
+    retry_budget(double ratio, double burst) noexcept
+        : ratio_{ratio}, burst_{burst}, tokens_{burst} {}
+
+    void on_request() noexcept { tokens_ = std::min(burst_, tokens_ + ratio_); }
+
+    /// @return True if a retry is allowed; it is then counted.
+    [[nodiscard]] bool try_retry() noexcept {
+        if (tokens_ < 1) {
+            return false;
+        }
+        tokens_ -= 1;
+        return true;
+    }
+
+private:
+    double ratio_;
+    double burst_;
+    double tokens_;
+};
+
+} // namespace lovagemoor::core
--- /dev/null
+++ b/packages/core/include/lovagemoor/core/session_token.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <lovagemoor/core/ids.hpp>
+#include <lovagemoor/core/peer_message.hpp>
+
+#include <boost/outcome.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lovagemoor::core {
+
+/// @brief What a session has written or been shown, at most one position per group.
+struct session_token {
+    service_id service;
+    std::vector<group_position> positions;
+    /// Latest version of the configuration document that served the session.
+    std::uint64_t configuration_version = 0;
+
+    friend bool operator==(const session_token&, const session_token&) = default;
+};
+
+/// @brief Where an open transaction lives.
+struct transaction_handle {
+    host_id owner;
+    incarnation_number owner_incarnation = 0;
+    service_id service;
+    group_id group;
+    target_id target;
+    term_number term = 0;
+    transaction_id transaction = 0;
+
+    friend bool operator==(const transaction_handle&, const transaction_handle&) = default;
+};
+
+enum class token_error : std::uint8_t {
+    /// The bytes are not a sealed message of the expected form.
+    malformed,
+    /// The bytes were not sealed with this key, or were sealed as another kind of token.
+    bad_mac,
+    /// The token belongs to another service.
+    wrong_service,
+};
+
+[[nodiscard]] const char* to_string(token_error error) noexcept;
+
+template <typename T>
+using token_result = BOOST_OUTCOME_V2_NAMESPACE::unchecked<T, token_error>;
+
+/// @brief Raises the group's position in the token; a lower (term, position) changes nothing.
+void merge_position(session_token& token, const group_position& shown);
+
+/// @return The group's position, of term 0 when the session has seen nothing of the group.
+[[nodiscard]] group_position position_in(const session_token& token, const group_id& group);
+
+/// @brief Seals tokens with HMAC-SHA256, so that callers can neither read a meaning into them nor
+/// change them.
+class token_sealer {
+public:
+    /// @param key Secret shared by all hosts.
+    explicit token_sealer(std::string key);
+
+    [[nodiscard]] std::string seal(const session_token& token) const;
+    [[nodiscard]] std::string seal(const transaction_handle& handle) const;
+
+    /// @param service Service of the request that brought the token.
+    [[nodiscard]] token_result<session_token> open_session(std::string_view sealed,
+                                                           const service_id& service) const;
+
+    [[nodiscard]] token_result<transaction_handle> open_transaction(std::string_view sealed) const;
+
+    /// @param service Service of the request that brought the handle.
+    [[nodiscard]] token_result<transaction_handle>
+    open_transaction(std::string_view sealed, const service_id& service) const;
+
+private:
+    [[nodiscard]] std::string mac(std::string_view kind, std::string_view payload) const;
+    [[nodiscard]] std::string seal_payload(std::string_view kind, std::string payload) const;
+    [[nodiscard]] token_result<std::string> open_payload(std::string_view kind,
+                                                         std::string_view sealed) const;
+
+    std::string key_;
+};
+
+} // namespace lovagemoor::core
--- /dev/null
+++ b/packages/core/src/statement_costs.cpp
@@ -0,0 +1,50 @@
+#include <lovagemoor/core/statement_costs.hpp>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace lovagemoor::core {
+
+namespace internal {
+
+/// Weight of a new measurement: one slow run among fast ones does not make a statement bulk.
+constexpr double cost_weight = 0.2;
+
+std::uint64_t sql_digest(std::string_view sql) noexcept {
+    return XXH3_64bits(sql.data(), sql.size());
+}
+
+} // namespace internal
+
+statement_costs::statement_costs(duration bulk_threshold, std::size_t capacity)
+    : bulk_threshold_{bulk_threshold}, capacity_{capacity} {}
+
+void statement_costs::record(std::string_view sql, duration measured) {
+    const std::uint64_t digest = internal::sql_digest(sql);
+    const auto found = entries_.find(digest);
+    const double sample = static_cast<double>(measured.count());
+    if (found != entries_.end()) {
+        double& mean_us = found->second->mean_us;
+        mean_us += internal::cost_weight * (sample - mean_us);
+        recent_.splice(recent_.begin(), recent_, found->second);
+        return;
+    }
+    if (entries_.size() >= capacity_ && !recent_.empty()) {
+        entries_.erase(recent_.back().digest);
+        recent_.pop_back();
+    }
+    recent_.push_front(entry{digest, sample});
+    entries_.emplace(digest, recent_.begin());
+}
+
+duration statement_costs::mean(std::string_view sql) const {
+    const auto found = entries_.find(internal::sql_digest(sql));
+    return found == entries_.end() ? duration{0}
+                                   : duration{static_cast<duration::rep>(found->second->mean_us)};
+}
+
+urgency statement_costs::classify(std::string_view sql, urgency declared) const {
+    return mean(sql) > bulk_threshold_ ? urgency::bulk : declared;
+}
+
+} // namespace lovagemoor::core
