--- a/packages/core/include/lovagemoor/core/cluster_view.hpp
+++ b/packages/core/include/lovagemoor/core/cluster_view.hpp
@@ -73,6 +73,11 @@
 
     [[nodiscard]] const std::map<group_id, term_record>& terms() const noexcept { return terms_; }
 
+    /// @brief Hosts as the platform lists them; the list lags behind the actual state.
+    [[nodiscard]] const std::map<host_id, host_record>& listed_hosts() const noexcept {
+        return listed_hosts_;
+    }
+
     /// @brief Applies a record if its revision (and, for a configuration, its version) is higher.
     /// @return True when the record was applied.
     bool apply(const platform_record& record);
