Add the owner's side of the request path

One host holds a target's connections and schedules its slots. A request is refused before it runs when this host does not own the target, the target is not the group's primary for a write or a fresh read, or the deadline cannot be met. Results are answered after their acknowledgement.

A write or fresh read whose job reports another term than the one it was started in is treated as superseded: the target may have followed another primary between COMMIT and the position query, and an attestation of the position read would then prove nothing about the write. A transaction whose COMMIT was sent is never reported as lost later.

--- /dev/null
+++ b/packages/core/include/lovagemoor/core/owner_service.hpp
@@ -0,0 +1,211 @@
+#pragma once
+
+#include <lovagemoor/core/acknowledger.hpp>
+#include <lovagemoor/core/action.hpp>
+#include <lovagemoor/core/admission.hpp>
+#include <lovagemoor/core/cluster_view.hpp>
+#include <lovagemoor/core/connection_pool.hpp>
+#include <lovagemoor/core/event.hpp>
+#include <lovagemoor/core/id_source.hpp>
+#include <lovagemoor/core/settings.hpp>
+#include <lovagemoor/core/statement_costs.hpp>
+#include <lovagemoor/core/target_queue.hpp>
+#include <lovagemoor/core/transactions.hpp>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace lovagemoor::core {
+
+/// @brief Load of one target, for operators' status.
+struct target_load {
+    target_id target;
+    std::uint32_t queued = 0;
+    std::uint32_t running = 0;
+    std::uint32_t connections = 0;
+};
+
+/// @brief Runs forwarded requests on the targets that this host owns.
+///
+/// Checks ownership and the view of the group, admits or refuses by the deadline, schedules the
+/// target's slots, keeps the connections, and answers a write, a commit or a single read only after
+/// its acknowledgement. Every accepted request gets exactly one forward_outcome unless it is
+/// cancelled.
+class owner_service {
+public:
+    /// @param settings Must outlive the object, like `view`, `acknowledgements` and `ids`.
+    owner_service(const core_settings& settings, const cluster_view& view,
+                  acknowledger& acknowledgements, id_source& ids);
+
+    void submit(time_point now, const host_id& entry, const forward_request& request,
+                action_list& actions);
+
+    /// @brief Drops a request whose caller gave up. Its connection is closed if it runs.
+    void cancel(time_point now, const host_id& entry, request_id request, action_list& actions);
+
+    void on_connection_opened(time_point now, const connection_opened& opened,
+                              action_list& actions);
+    void on_connection_closed(time_point now, const connection_closed& closed,
+                              action_list& actions);
+    void on_job_rows(time_point now, const job_rows& rows, action_list& actions);
+    void on_job_finished(time_point now, const job_finished& finished, action_list& actions);
+    void on_acknowledged(time_point now, const acknowledgement& result, action_list& actions);
+
+    /// @brief Hands over what this host no longer owns and ends work on replaced primaries.
+    void on_view_changed(time_point now, action_list& actions);
+
+    /// @brief Drops the waiting requests of a host that failed.
+    void on_host_lost(time_point now, const host_id& host, action_list& actions);
+
+    void on_timer(time_point now, action_list& actions);
+
+    /// @brief Refuses new work from now on, except in open transactions.
+    void drain(time_point now, action_list& actions);
+
+    /// @return Requests and open transactions that are not finished.
+    [[nodiscard]] std::size_t in_progress() const noexcept;
+
+    /// @return When on_timer() is needed next, time_point::max() when never.
+    [[nodiscard]] time_point next_wakeup() const;
+
+    [[nodiscard]] std::vector<target_load> loads() const;
+
+    /// @return Expected wait for a slot of the target at normal urgency.
+    [[nodiscard]] duration queue_wait(const target_id& target) const;
+
+private:
+    enum class request_phase : std::uint8_t { queued, running, acknowledging };
+
+    struct owned_request {
+        /// Number of the request on this host; also names its acknowledgement.
+        std::uint64_t ticket = 0;
+        host_id entry;
+        forward_request request;
+        /// Scheduling class: the declared urgency or bulk by measured cost.
+        urgency priority = urgency::normal;
+        time_point deadline;
+        time_point queued_at;
+        time_point started_at;
+        request_phase phase = request_phase::queued;
+        connection_id connection = 0;
+        job_id job = 0;
+        /// Term in which the target was the primary when the request was started.
+        term_number expected_term = 0;
+        std::uint32_t batches = 0;
+        /// Outcome to send once it is acknowledged.
+        outcome pending_result;
+        group_position shown;
+    };
+
+    /// State of a target that this host owns or still has connections to.
+    struct target_lane {
+        target_lane(duration bulk_max_wait, id_source& ids) : queue{bulk_max_wait}, pool{ids} {}
+
+        target_queue queue;
+        connection_pool pool;
+        admission measures;
+        std::array<std::size_t, urgency_count> running{};
+        std::optional<time_point> owned_since;
+        target_observation observed;
+        time_point observed_at;
+        /// When the pool needs attention: a pause after a failure or the half budget ends.
+        time_point pool_wakeup = time_point::max();
+    };
+
+    struct reset_in_progress {
+        target_id target;
+        connection_id connection = 0;
+    };
+
+    using request_map = std::unordered_map<std::uint64_t, owned_request>;
+
+    // Admission.
+    [[nodiscard]] std::optional<refused>
+    check_submission(time_point now, const forward_request& request, urgency priority);
+    [[nodiscard]] std::optional<refused> check_transaction(const forward_request& request);
+    [[nodiscard]] std::optional<refused> check_placement(const forward_request& request) const;
+    [[nodiscard]] std::optional<refused>
+    check_capacity(time_point now, const forward_request& request, urgency priority) const;
+    [[nodiscard]] urgency scheduling_class(const forward_request& request) const;
+    [[nodiscard]] bool is_owner(const target_id& target) const;
+    [[nodiscard]] bool is_lost_transaction(const forward_request& request);
+    void reply_without_running(time_point now, const host_id& entry, const forward_request& request,
+                               outcome result, action_list& actions);
+
+    // Scheduling.
+    void update_ownership(time_point now, const target_id& target, action_list& actions);
+    [[nodiscard]] target_lane& lane_of(const target_id& target);
+    [[nodiscard]] const target_lane* find_lane(const target_id& target) const;
+    [[nodiscard]] std::uint32_t slots_of(const target_id& target) const;
+    [[nodiscard]] std::size_t connection_budget(time_point now, const target_id& target,
+                                                const target_lane& lane) const;
+    [[nodiscard]] target_backlog backlog_of(const target_id& target, const target_lane& lane) const;
+    void dispatch(time_point now, const target_id& target, action_list& actions);
+    void maintain_pool(time_point now, const target_id& target, target_lane& lane,
+                       action_list& actions);
+    void start(time_point now, owned_request& owned, target_lane& lane, action_list& actions);
+    [[nodiscard]] target_job make_job(const owned_request& owned);
+    [[nodiscard]] static queued_request queue_entry(const owned_request& owned);
+    void refuse_queued(time_point now, std::uint64_t ticket, refusal_reason reason,
+                       action_list& actions);
+    void refuse_waiting(time_point now, const target_id& target, action_list& actions);
+    void end_superseded_work(time_point now, action_list& actions);
+    [[nodiscard]] bool is_superseded(const target_id& target, term_number expected) const;
+
+    // Results.
+    void leave_slot(time_point now, owned_request& owned, bool measured);
+    void finish_job(time_point now, owned_request& owned, const job_result& result,
+                    action_list& actions);
+    void on_done(time_point now, owned_request& owned, const job_done& result,
+                 action_list& actions);
+    void on_error(time_point now, owned_request& owned, const job_error& error,
+                  action_list& actions);
+    void on_already_committed(time_point now, owned_request& owned,
+                              const job_already_committed& result, action_list& actions);
+    [[nodiscard]] outcome lost_outcome(const owned_request& owned, bool sent,
+                                       unknown_reason reason) const;
+    [[nodiscard]] bool has_expected_term(const owned_request& owned, term_number term) const;
+    void open_begun_transaction(time_point now, owned_request& owned, action_list& actions);
+    void acknowledge(time_point now, owned_request& owned, const group_position& shown,
+                     action_list& actions);
+    void release_connection(owned_request& owned, action_list& actions);
+    /// @brief Notes that the connection of a running request's transaction is gone.
+    void lose_transaction_of(time_point now, const owned_request& owned);
+    void lose_transaction(time_point now, transaction_id transaction);
+    void leave_transaction_idle(time_point now, transaction_id transaction);
+
+    /// @brief Closes the connection of a running request and answers it. The caller dispatches.
+    void abandon(time_point now, owned_request& owned, unknown_reason reason, action_list& actions);
+    void answer(time_point now, owned_request& owned, outcome result, action_list& actions);
+    void erase_request(const owned_request& owned);
+    void expire_deadlines(time_point now, action_list& actions);
+    void expire_transactions(time_point now, action_list& actions);
+    void note_observation(time_point now, const owned_request& owned, const job_done& result);
+    [[nodiscard]] target_observation observation_of(time_point now, const target_id& target) const;
+    void send(const host_id& entry, peer_message message, action_list& actions) const;
+
+    const core_settings& settings_;
+    const cluster_view& view_;
+    acknowledger& acknowledgements_;
+    id_source& ids_;
+    /// Identifies this process in transaction handles; the view's incarnation may grow later.
+    incarnation_number incarnation_;
+    statement_costs costs_;
+    std::map<target_id, target_lane> lanes_;
+    request_map requests_;
+    std::map<std::pair<host_id, request_id>, std::uint64_t> tickets_;
+    std::unordered_map<job_id, std::uint64_t> jobs_;
+    std::unordered_map<job_id, reset_in_progress> resets_;
+    std::set<std::pair<time_point, std::uint64_t>> deadlines_;
+    transaction_table transactions_;
+    bool draining_ = false;
+};
+
+} // namespace lovagemoor::core
