Add the target stand-in

Cause: the driver for targets and the experiments need databases of a replicated group, and no third-party server may be installed.

A token position that equals the start of the next term is refused with DG003. The opening entry takes the place of an entry of the earlier term at that position, so the entry that the token names is lost.

Row lock waits hold no slot. With a slot, waiters for a claim could occupy all slots and stop the statement that ends their wait.

Ruled out: a listener thread per connection (one poll loop keeps the state free of locks), and fixed ports (tests would collide).

--- /dev/null
+++ b/standins/target/src/executor.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "catalogue.hpp"
+#include "group_member.hpp"
+#include "row_locks.hpp"
+#include "wire.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lovagemoor::standin_target {
+
+/// @brief Transaction of one session.
+struct transaction {
+    /// A statement ran since the last commit or rollback.
+    bool active = false;
+    /// Begun by BEGIN; otherwise it is implicit and ends at Sync.
+    bool in_block = false;
+    bool failed = false;
+    std::vector<v1::Change> changes;
+};
+
+struct statement_result {
+    std::vector<sql_row> rows;
+    std::string tag;
+    /// True after a COMMIT that wrote a log entry.
+    bool committed_write = false;
+};
+
+/// @brief Effects of the statements on one member's tables and terms.
+class executor {
+public:
+    /// @param control Handles standin_control and returns its text.
+    executor(group_member& member, row_locks& locks,
+             std::function<std::string(const std::string& name, const std::string& value)> control)
+        : member_(member), locks_(locks), control_(std::move(control)) {}
+
+    /// @brief Checks a statement before it waits for anything.
+    /// @return Key of the row lock that it needs; empty without one.
+    /// @throw sql_error 25006, 25P02 or an invalid parameter.
+    [[nodiscard]] std::string prepare(const statement_definition& statement,
+                                      const std::vector<sql_value>& parameters,
+                                      const transaction& current) const;
+
+    /// @throw sql_error The caller has to fail the transaction.
+    [[nodiscard]] statement_result execute(const statement_definition& statement,
+                                           const std::vector<sql_value>& parameters,
+                                           transaction& current, session_id session,
+                                           time_point now);
+
+    /// @brief Commits what the transaction wrote as one log entry and resets the transaction.
+    /// @return True when there was something to write.
+    /// @throw sql_error 25006; the transaction is reset nevertheless.
+    bool commit(transaction& current);
+
+private:
+    [[nodiscard]] statement_result execute_table(statement_kind kind,
+                                                 const std::vector<sql_value>& parameters,
+                                                 transaction& current, session_id session) const;
+    [[nodiscard]] statement_result execute_transaction(statement_kind kind, transaction& current);
+    [[nodiscard]] statement_result
+    execute_group(statement_kind kind, const std::vector<sql_value>& parameters, time_point now);
+    [[nodiscard]] statement_result delete_expired(transaction& current, session_id session) const;
+
+    group_member& member_;
+    row_locks& locks_;
+    std::function<std::string(const std::string&, const std::string&)> control_;
+};
+
+/// @throw sql_error 22P02 for other text, 22004 for NULL.
+[[nodiscard]] std::int64_t parse_integer(const sql_value& value);
+
+/// @throw sql_error 22P02 for other text, 22004 for NULL.
+[[nodiscard]] std::chrono::microseconds parse_seconds(const sql_value& value);
+
+} // namespace lovagemoor::standin_target
--- /dev/null
+++ b/standins/target/src/group_member.cpp
@@ -0,0 +1,328 @@
+#include "group_member.hpp"
+
+#include "sql_error.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagemoor::standin_target {
+
+namespace {
+
+constexpr std::chrono::milliseconds announcement_interval{50};
+/// A fetch at the end of the log is answered after this time even if nothing was written, so that
+/// the replica's age stays low.
+constexpr std::chrono::milliseconds fetch_hold_time{10};
+constexpr std::chrono::milliseconds fetch_timeout{200};
+constexpr log_position max_entries_per_reply = 1000;
+/// Age of a member that never was up to date.
+constexpr std::chrono::milliseconds unknown_age{1'000'000'000};
+
+std::chrono::milliseconds to_ms(time_point::duration value) {
+    return std::chrono::ceil<std::chrono::milliseconds>(value);
+}
+
+} // namespace
+
+group_member::group_member(std::string id, bool begins_as_primary, time_point now,
+                           send_function send, std::function<void()> changed)
+    : id_(std::move(id)),
+      send_(std::move(send)),
+      changed_(std::move(changed)),
+      leader_heard_at_(now),
+      next_announcement_(now) {
+    if (begins_as_primary) {
+        open_term(1, now);
+    }
+}
+
+void group_member::set_members(const std::vector<std::string>& members) {
+    members_ = members;
+    std::erase(members_, id_);
+}
+
+bool group_member::is_primary() const noexcept {
+    return leader_ == id_ && leader_term_ == promised_term_;
+}
+
+bool group_member::may_follow() const noexcept {
+    return !leader_.empty() && leader_ != id_ && leader_term_ >= promised_term_;
+}
+
+std::chrono::milliseconds group_member::age(time_point now) const {
+    if (is_primary()) {
+        return std::chrono::milliseconds{0};
+    }
+    return current_as_of_ ? to_ms(now - *current_as_of_) : unknown_age;
+}
+
+member_status group_member::status(time_point now) const {
+    member_status result;
+    result.promised_term = promised_term_;
+    result.last_term = log_.last_term();
+    result.position = log_.end();
+    result.is_primary = is_primary();
+    result.age = age(now);
+    result.primary_silence =
+        is_primary() ? std::chrono::milliseconds{0} : to_ms(now - leader_heard_at_);
+    return result;
+}
+
+void group_member::raise(term_number term) {
+    if (term < promised_term_) {
+        throw sql_error("DG001", "term superseded");
+    }
+    promised_term_ = term;
+    changed_();
+}
+
+log_position group_member::promote(term_number term, time_point now) {
+    if (term == leader_term_ && is_primary()) {
+        return log_.start_of_first_term_above(term - 1);
+    }
+    if (term < promised_term_ || term <= leader_term_ || term <= log_.last_term()) {
+        throw sql_error("DG001", "term superseded");
+    }
+    open_term(term, now);
+    changed_();
+    return log_.end();
+}
+
+void group_member::open_term(term_number term, time_point now) {
+    promised_term_ = term;
+    leader_term_ = term;
+    leader_ = id_;
+    received_.clear();
+    outstanding_.reset();
+    current_as_of_.reset();
+    v1::LogEntry opening;
+    opening.set_term(term);
+    log_.append(std::move(opening));
+    announce(now);
+}
+
+void group_member::guard(term_number term, log_position position, std::chrono::milliseconds max_age,
+                         time_point now) const {
+    if (term > log_.last_term() || (term == log_.last_term() && position > log_.end())) {
+        throw sql_error("DG002", "behind the requested position");
+    }
+    // The opening entry of a later term takes the place of an entry of the earlier term at the
+    // same position, so the position itself is lost as well.
+    const log_position next_start = log_.start_of_first_term_above(term);
+    if (next_start != 0 && position >= next_start) {
+        throw sql_error("DG003", "the requested position is not in this log");
+    }
+    if (max_age.count() >= 0 && age(now) > max_age) {
+        throw sql_error("DG004", "data too old");
+    }
+}
+
+bool group_member::attest_is_decided(term_number term, log_position position) const {
+    const bool superseded = promised_term_ > term || log_.last_term() > term;
+    return superseded || (log_.last_term() == term && log_.end() >= position);
+}
+
+void group_member::commit(const std::vector<v1::Change>& changes) {
+    if (!is_primary()) {
+        throw sql_error("25006", "cannot execute in a read-only transaction");
+    }
+    v1::LogEntry entry;
+    entry.set_term(leader_term_);
+    for (const v1::Change& change : changes) {
+        *entry.add_changes() = change;
+    }
+    log_.append(std::move(entry));
+    std::erase_if(held_fetches_, [this](const auto& item) {
+        return answer_fetch(item.first, item.second.request, false);
+    });
+    changed_();
+}
+
+void group_member::receive(const v1::ReplicationMessage& message, time_point now) {
+    switch (message.kind_case()) {
+    case v1::ReplicationMessage::kAnnouncement:
+        receive_announcement(message.from(), message.announcement().term(), now);
+        break;
+    case v1::ReplicationMessage::kFetchRequest:
+        receive_fetch(message.from(), message.fetch_request(), now);
+        break;
+    case v1::ReplicationMessage::kFetchReply:
+        receive_reply(message.from(), message.fetch_reply(), now);
+        break;
+    case v1::ReplicationMessage::KIND_NOT_SET:
+        break;
+    }
+}
+
+void group_member::receive_announcement(const std::string& from, term_number term, time_point now) {
+    if (term < promised_term_ || term < leader_term_ || (term == leader_term_ && from != leader_)) {
+        return;
+    }
+    leader_heard_at_ = now;
+    if (term == leader_term_) {
+        return;
+    }
+    promised_term_ = term;
+    leader_term_ = term;
+    leader_ = from;
+    held_fetches_.clear();
+    received_.clear();
+    outstanding_.reset();
+    received_position_ = log_.end();
+    received_term_ = log_.last_term();
+    changed_();
+}
+
+void group_member::receive_fetch(const std::string& from, const v1::FetchRequest& request,
+                                 time_point now) {
+    if (!is_primary() || request.term() != leader_term_) {
+        return;
+    }
+    if (answer_fetch(from, request, false)) {
+        held_fetches_.erase(from);
+    } else {
+        held_fetches_[from] = {request, now + fetch_hold_time};
+    }
+}
+
+bool group_member::answer_fetch(const std::string& to, const v1::FetchRequest& request,
+                                bool even_if_empty) const {
+    v1::ReplicationMessage message;
+    v1::FetchReply& reply = *message.mutable_fetch_reply();
+    reply.set_term(leader_term_);
+    reply.set_sequence(request.sequence());
+    const bool known =
+        request.position() <= log_.end() && log_.term_at(request.position()) == request.last_term();
+    if (!known) {
+        reply.set_diverged(true);
+        reply.set_branch_term(log_.latest_term_up_to(request.last_term()));
+        reply.set_branch_end(log_.end_of_term(reply.branch_term()));
+        send(to, std::move(message));
+        return true;
+    }
+    if (request.position() == log_.end() && !even_if_empty) {
+        return false;
+    }
+    const log_position last = std::min(log_.end(), request.position() + max_entries_per_reply);
+    for (log_position position = request.position() + 1; position <= last; ++position) {
+        *reply.add_entries() = log_.entry_at(position);
+    }
+    reply.set_complete(last == log_.end());
+    send(to, std::move(message));
+    return true;
+}
+
+void group_member::receive_reply(const std::string& from, const v1::FetchReply& reply,
+                                 time_point now) {
+    if (!may_follow() || from != leader_ || reply.term() != leader_term_) {
+        return;
+    }
+    leader_heard_at_ = now;
+    if (!outstanding_ || outstanding_->sequence != reply.sequence()) {
+        return;
+    }
+    const time_point asked_at = outstanding_->asked_at;
+    outstanding_.reset();
+    if (reply.diverged()) {
+        truncate_branch(reply);
+        return;
+    }
+    if (!reply.entries().empty()) {
+        received_position_ += static_cast<log_position>(reply.entries_size());
+        received_term_ = reply.entries().rbegin()->term();
+    }
+    time_point due = now + lag_;
+    if (!received_.empty()) {
+        due = std::max(due, received_.back().due);
+    }
+    received_.push_back({reply, asked_at, due});
+}
+
+void group_member::truncate_branch(const v1::FetchReply& reply) {
+    received_.clear();
+    log_position keep = std::min(reply.branch_end(), log_.end_of_term(reply.branch_term()));
+    // A member that lost its memory may have reused a term; one entry less ends the comparison.
+    if (keep >= log_.end() && keep > 0) {
+        keep = log_.end() - 1;
+    }
+    log_.truncate(keep);
+    received_position_ = log_.end();
+    received_term_ = log_.last_term();
+    current_as_of_.reset();
+    changed_();
+}
+
+void group_member::apply_received(time_point now) {
+    bool applied = false;
+    while (!received_.empty() && received_.front().due <= now) {
+        const received_batch& batch = received_.front();
+        for (const v1::LogEntry& entry : batch.reply.entries()) {
+            log_.append(entry);
+            applied = true;
+        }
+        if (batch.reply.complete()) {
+            current_as_of_ = batch.asked_at;
+        }
+        received_.pop_front();
+    }
+    if (applied) {
+        changed_();
+    }
+}
+
+void group_member::send_fetch(time_point now) {
+    outstanding_ = outstanding_fetch{next_sequence_++, now};
+    v1::ReplicationMessage message;
+    v1::FetchRequest& request = *message.mutable_fetch_request();
+    request.set_term(leader_term_);
+    request.set_sequence(outstanding_->sequence);
+    request.set_last_term(received_term_);
+    request.set_position(received_position_);
+    send(leader_, std::move(message));
+}
+
+void group_member::announce(time_point now) {
+    v1::ReplicationMessage message;
+    message.mutable_announcement()->set_term(leader_term_);
+    for (const std::string& member : members_) {
+        send(member, message);
+    }
+    next_announcement_ = now + announcement_interval;
+}
+
+void group_member::answer_held_fetches(time_point now) {
+    std::erase_if(held_fetches_, [this, now](const auto& item) {
+        return item.second.deadline <= now && answer_fetch(item.first, item.second.request, true);
+    });
+}
+
+time_point group_member::tick(time_point now) {
+    time_point next = time_point::max();
+    if (is_primary()) {
+        if (next_announcement_ <= now) {
+            announce(now);
+        }
+        answer_held_fetches(now);
+        next = next_announcement_;
+        for (const auto& [member, held] : held_fetches_) {
+            next = std::min(next, held.deadline);
+        }
+    } else if (may_follow()) {
+        apply_received(now);
+        if (!outstanding_ || outstanding_->asked_at + fetch_timeout <= now) {
+            send_fetch(now);
+        }
+        next = outstanding_->asked_at + fetch_timeout;
+        if (!received_.empty()) {
+            next = std::min(next, received_.front().due);
+        }
+    }
+    return next;
+}
+
+void group_member::send(const std::string& to, v1::ReplicationMessage message) const {
+    message.set_from(id_);
+    send_(to, message);
+}
+
+} // namespace lovagemoor::standin_target
--- /dev/null
+++ b/standins/target/src/session_runner.cpp
@@ -0,0 +1,458 @@
+#include "session_runner.hpp"
+
+#include "sql_error.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagemoor::standin_target {
+
+namespace {
+
+/// A session with more unsent output than this runs no further message.
+constexpr std::size_t max_output_bytes = 1U << 20U;
+/// PostgreSQL sends its output without being asked when its buffer of this size is full.
+constexpr std::size_t send_buffer_bytes = 8192;
+
+char transaction_status(const transaction& current) {
+    if (current.failed) {
+        return 'E';
+    }
+    return current.in_block ? 'T' : 'I';
+}
+
+const statement_definition& require_statement(std::string_view sql) {
+    const statement_definition* definition = find_statement(sql);
+    if (definition == nullptr) {
+        throw sql_error("42601", "statement is not known to the stand-in");
+    }
+    return *definition;
+}
+
+void require_text_formats(body_reader& body) {
+    const std::uint16_t count = body.read_uint16();
+    for (std::uint16_t index = 0; index < count; ++index) {
+        if (body.read_uint16() != 0) {
+            throw sql_error("0A000", "binary format is not supported");
+        }
+    }
+}
+
+void write_columns(message_writer& writer, const std::vector<result_column>& columns) {
+    if (columns.empty()) {
+        writer.write_empty('n');
+    } else {
+        writer.write_row_description(columns);
+    }
+}
+
+} // namespace
+
+void session_runner::wake_attesting() {
+    for (auto& [id, item] : sessions_) {
+        if (item.running && item.running->stage == statement_stage::attest_wait) {
+            item.running->stage = statement_stage::attest_check;
+            wake(id);
+        }
+    }
+}
+
+void session_runner::run_queued(const std::function<bool(const session&)>& may_run) {
+    std::deque<session_id> postponed;
+    while (!runnable_.empty()) {
+        const session_id id = runnable_.front();
+        runnable_.pop_front();
+        const auto found = sessions_.find(id);
+        if (found == sessions_.end() || found->second.phase != session_phase::ready) {
+            continue;
+        }
+        if (may_run(found->second)) {
+            run(found->second);
+        } else {
+            postponed.push_back(id);
+        }
+    }
+    runnable_ = std::move(postponed);
+}
+
+void session_runner::run(session& item) {
+    try {
+        while (!item.closing) {
+            if (item.running && !advance(item)) {
+                return;
+            }
+            item.output_full = item.output.size() > max_output_bytes;
+            if (item.broken || item.output_full) {
+                return;
+            }
+            const std::optional<frontend_message> message =
+                take_message(item.input, item.input_offset, false);
+            if (!message) {
+                item.closing = item.input_closed;
+                return;
+            }
+            handle(item, *message);
+        }
+    } catch (const sql_error& error) {
+        message_writer(item.output).write_error("FATAL", error.sqlstate(), error.what());
+        item.sendable = item.output.size();
+        item.closing = true;
+    }
+}
+
+void session_runner::handle(session& item, const frontend_message& message) {
+    if (item.skip_until_sync && message.type != 'S' && message.type != 'X') {
+        return;
+    }
+    const body_reader body(message.body);
+    try {
+        switch (message.type) {
+        case 'P':
+            handle_parse(item, body);
+            break;
+        case 'B':
+            handle_bind(item, body);
+            break;
+        case 'D':
+            handle_describe(item, body);
+            break;
+        case 'E':
+            handle_execute(item, body);
+            break;
+        case 'C':
+            handle_close(item, body);
+            break;
+        case 'Q':
+            handle_query(item, body);
+            break;
+        case 'H':
+            item.sendable = item.output.size();
+            break;
+        case 'S':
+            handle_sync(item);
+            break;
+        case 'X':
+            item.closing = true;
+            break;
+        default:
+            throw sql_error("08P01", "invalid frontend message type");
+        }
+    } catch (const sql_error& error) {
+        item.skip_until_sync = message.type != 'Q';
+        fail_statement(item, error.sqlstate(), error.what());
+        if (message.type == 'Q') {
+            end_transaction_and_report(item);
+        }
+    }
+}
+
+void session_runner::handle_parse(session& item, body_reader body) {
+    const std::string name = body.read_string();
+    const std::string sql = body.read_string();
+    const statement_definition& definition = require_statement(sql);
+    const bool ends_transaction =
+        definition.kind == statement_kind::commit || definition.kind == statement_kind::rollback;
+    if (item.current.failed && !ends_transaction) {
+        throw sql_error("25P02", "current transaction is aborted, commands ignored until end of "
+                                 "transaction block");
+    }
+    item.prepared[name] = &definition;
+    message_writer(item.output).write_empty('1');
+}
+
+void session_runner::handle_bind(session& item, body_reader body) {
+    const std::string portal = body.read_string();
+    const auto prepared = item.prepared.find(body.read_string());
+    if (prepared == item.prepared.end()) {
+        throw sql_error("26000", "prepared statement does not exist");
+    }
+    require_text_formats(body);
+    bound_statement bound{prepared->second, {}};
+    const std::uint16_t count = body.read_uint16();
+    if (count != bound.definition->parameter_count) {
+        throw sql_error("08P01", "wrong number of parameters");
+    }
+    constexpr std::uint32_t null_length = 0xFFFFFFFFU;
+    for (std::uint16_t index = 0; index < count; ++index) {
+        const std::uint32_t length = body.read_uint32();
+        bound.parameters.push_back(length == null_length ? sql_value{}
+                                                         : sql_value(body.read_bytes(length)));
+    }
+    require_text_formats(body);
+    item.portals[portal] = std::move(bound);
+    message_writer(item.output).write_empty('2');
+}
+
+void session_runner::handle_describe(session& item, body_reader body) {
+    const char kind = body.read_byte();
+    const std::string name = body.read_string();
+    message_writer writer(item.output);
+    if (kind == 'S') {
+        const auto prepared = item.prepared.find(name);
+        if (prepared == item.prepared.end()) {
+            throw sql_error("26000", "prepared statement does not exist");
+        }
+        writer.write_parameter_description(prepared->second->parameter_count);
+        write_columns(writer, prepared->second->columns);
+        return;
+    }
+    const auto portal = item.portals.find(name);
+    if (portal == item.portals.end()) {
+        throw sql_error("34000", "portal does not exist");
+    }
+    write_columns(writer, portal->second.definition->columns);
+}
+
+void session_runner::handle_execute(session& item, body_reader body) {
+    const auto portal = item.portals.find(body.read_string());
+    if (portal == item.portals.end()) {
+        throw sql_error("34000", "portal does not exist");
+    }
+    start(item, portal->second, false);
+}
+
+void session_runner::handle_close(session& item, body_reader body) {
+    const char kind = body.read_byte();
+    const std::string name = body.read_string();
+    if (kind == 'S') {
+        item.prepared.erase(name);
+    } else {
+        item.portals.erase(name);
+    }
+    message_writer(item.output).write_empty('3');
+}
+
+void session_runner::handle_query(session& item, body_reader body) {
+    const std::string sql = body.read_string();
+    if (sql.empty()) {
+        message_writer(item.output).write_empty('I');
+        end_transaction_and_report(item);
+        return;
+    }
+    const statement_definition& definition = require_statement(sql);
+    if (definition.parameter_count != 0) {
+        throw sql_error("42P02", "there is no parameter $1");
+    }
+    start(item, {&definition, {}}, true);
+}
+
+void session_runner::handle_sync(session& item) {
+    item.skip_until_sync = false;
+    end_transaction_and_report(item);
+}
+
+void session_runner::end_transaction_and_report(session& item) {
+    if (!item.current.in_block) {
+        try {
+            executor_.commit(item.current);
+        } catch (const sql_error& error) {
+            message_writer(item.output).write_error("ERROR", error.sqlstate(), error.what());
+        }
+        release_locks(item);
+    }
+    message_writer(item.output).write_ready(transaction_status(item.current));
+    item.sendable = item.output.size();
+}
+
+void session_runner::start(session& item, bound_statement statement, bool simple) {
+    ++item.statement_number;
+    item.running = running_statement{std::move(statement), simple};
+}
+
+bool session_runner::advance(session& item) {
+    running_statement& running = *item.running;
+    try {
+        while (running.stage != statement_stage::effect) {
+            if (!advance_stage(item, running)) {
+                return false;
+            }
+        }
+        const statement_result result =
+            executor_.execute(*running.statement.definition, running.statement.parameters,
+                              item.current, item.id, clock_type::now());
+        release_slot(running);
+        finish_statement(item, result);
+    } catch (const sql_error& error) {
+        release_slot(running);
+        item.skip_until_sync = !running.simple;
+        fail_statement(item, error.sqlstate(), error.what());
+        if (running.simple) {
+            end_transaction_and_report(item);
+        }
+    }
+    item.running.reset();
+    return true;
+}
+
+bool session_runner::advance_stage(session& item, running_statement& running) {
+    const statement_definition& definition = *running.statement.definition;
+    switch (running.stage) {
+    case statement_stage::check: {
+        const std::string key =
+            executor_.prepare(definition, running.statement.parameters, item.current);
+        running.stage = statement_stage::slot_request;
+        if (key.empty()) {
+            return true;
+        }
+        const row_locks::acquisition lock = locks_.acquire(key, item.id);
+        if (lock == row_locks::acquisition::deadlock) {
+            throw sql_error("40P01", "deadlock detected");
+        }
+        if (lock == row_locks::acquisition::queued) {
+            running.stage = statement_stage::lock_wait;
+        }
+        return true;
+    }
+    case statement_stage::slot_request:
+        if (!definition.uses_slot) {
+            running.stage = statement_stage::attest_check;
+        } else if (free_slots_ > 0) {
+            --free_slots_;
+            running.holds_slot = true;
+            running.stage = statement_stage::service_start;
+        } else {
+            slot_queue_.push_back(item.id);
+            running.stage = statement_stage::slot_wait;
+        }
+        return true;
+    case statement_stage::service_start:
+        return start_service(item, running);
+    case statement_stage::attest_check:
+        return check_attest(item, running);
+    default:
+        return false;
+    }
+}
+
+bool session_runner::start_service(session& item, running_statement& running) {
+    const bool sleeps = running.statement.definition->kind == statement_kind::sleep;
+    const std::chrono::microseconds cost =
+        sleeps ? parse_seconds(running.statement.parameters[0]) : service_time_;
+    if (cost.count() <= 0) {
+        running.stage = statement_stage::effect;
+        return true;
+    }
+    running.stage = statement_stage::service;
+    schedule_stage(item, cost, statement_stage::service, statement_stage::effect);
+    return false;
+}
+
+bool session_runner::check_attest(session& item, running_statement& running) {
+    running.stage = statement_stage::effect;
+    const std::vector<sql_value>& parameters = running.statement.parameters;
+    if (running.statement.definition->kind != statement_kind::group_attest ||
+        running.attest_expired) {
+        return true;
+    }
+    const term_number term = static_cast<term_number>(parse_integer(parameters[0]));
+    const log_position position = static_cast<log_position>(parse_integer(parameters[1]));
+    const std::chrono::milliseconds wait(parse_integer(parameters[2]));
+    if (wait.count() <= 0 || member_.attest_is_decided(term, position)) {
+        return true;
+    }
+    running.stage = statement_stage::attest_wait;
+    const std::uint64_t number = item.statement_number;
+    timers_.schedule(clock_type::now() + wait, [this, id = item.id, number] {
+        const auto found = sessions_.find(id);
+        if (found != sessions_.end() && found->second.running &&
+            found->second.statement_number == number) {
+            found->second.running->attest_expired = true;
+            found->second.running->stage = statement_stage::attest_check;
+            wake(id);
+        }
+    });
+    return false;
+}
+
+void session_runner::schedule_stage(session& item, std::chrono::microseconds delay,
+                                    statement_stage from, statement_stage to) {
+    const std::uint64_t number = item.statement_number;
+    timers_.schedule(clock_type::now() + delay, [this, id = item.id, number, from, to] {
+        const auto found = sessions_.find(id);
+        if (found == sessions_.end()) {
+            return;
+        }
+        session& waiting = found->second;
+        if (waiting.running && waiting.statement_number == number &&
+            waiting.running->stage == from) {
+            waiting.running->stage = to;
+            wake(id);
+        }
+    });
+}
+
+void session_runner::finish_statement(session& item, const statement_result& result) {
+    const bool simple = item.running->simple;
+    const statement_definition& definition = *item.running->statement.definition;
+    if (definition.kind == statement_kind::commit || definition.kind == statement_kind::rollback) {
+        release_locks(item);
+    }
+    if (definition.kind == statement_kind::discard) {
+        item.prepared.clear();
+        item.portals.clear();
+    }
+    if (result.committed_write && std::exchange(drop_next_commit_, false)) {
+        item.output.clear();
+        item.sendable = 0;
+        item.broken = true;
+        return;
+    }
+    message_writer writer(item.output);
+    if (simple && !definition.columns.empty()) {
+        writer.write_row_description(definition.columns);
+    }
+    for (const sql_row& row : result.rows) {
+        writer.write_data_row(row);
+    }
+    writer.write_command_complete(result.tag);
+    if (simple) {
+        end_transaction_and_report(item);
+    } else if (item.output.size() - item.sendable > send_buffer_bytes) {
+        item.sendable = item.output.size();
+    }
+}
+
+void session_runner::fail_statement(session& item, const std::string& sqlstate,
+                                    const std::string& message) {
+    message_writer(item.output).write_error("ERROR", sqlstate, message);
+    const bool in_block = item.current.in_block;
+    item.current = {};
+    item.current.in_block = in_block;
+    item.current.failed = in_block;
+    release_locks(item);
+}
+
+void session_runner::release_slot(running_statement& running) {
+    if (!std::exchange(running.holds_slot, false)) {
+        return;
+    }
+    ++free_slots_;
+    if (slot_queue_.empty()) {
+        return;
+    }
+    const session_id next = slot_queue_.front();
+    slot_queue_.pop_front();
+    running_statement& waiting = *sessions_.at(next).running;
+    --free_slots_;
+    waiting.holds_slot = true;
+    waiting.stage = statement_stage::service_start;
+    wake(next);
+}
+
+void session_runner::release_locks(session& item) {
+    for (const session_id granted : locks_.release_all(item.id)) {
+        sessions_.at(granted).running->stage = statement_stage::slot_request;
+        wake(granted);
+    }
+}
+
+void session_runner::end_session(session& item) {
+    std::erase(slot_queue_, item.id);
+    if (item.running) {
+        release_slot(*item.running);
+    }
+    item.running.reset();
+    release_locks(item);
+}
+
+} // namespace lovagemoor::standin_target
--- /dev/null
+++ b/standins/target/src/sql_error.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+namespace lovagemoor::standin_target {
+
+/// @brief Error that is sent to the client as an ErrorResponse.
+class sql_error : public std::runtime_error {
+public:
+    sql_error(std::string sqlstate, const std::string& message)
+        : std::runtime_error(message), sqlstate_(std::move(sqlstate)) {}
+
+    [[nodiscard]] const std::string& sqlstate() const noexcept { return sqlstate_; }
+
+private:
+    std::string sqlstate_;
+};
+
+} // namespace lovagemoor::standin_target
--- /dev/null
+++ b/standins/target/test/fault_test.cpp
@@ -0,0 +1,137 @@
+#include "client.hpp"
+#include "statements.hpp"
+
+#include <lovagemoor/standin_target/target_process.hpp>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+using lovagemoor::standin_target::start_group;
+using lovagemoor::standin_target::target_process;
+using namespace standin_target_test; // NOLINT(google-build-using-namespace)
+
+namespace {
+
+struct silence_case {
+    const char* control;
+    const char* on;
+    const char* off;
+};
+
+std::ostream& operator<<(std::ostream& output, const silence_case& item) {
+    return output << item.control;
+}
+
+const std::vector<silence_case> silences{{"freeze", "on", "off"}, {"isolate", "x,test", ""}};
+
+struct refusal_case {
+    const char* value;
+    const char* message;
+};
+
+std::ostream& operator<<(std::ostream& output, const refusal_case& item) {
+    return output << item.value;
+}
+
+const std::vector<refusal_case> refusals{{"on", "refused by fault injection"},
+                                         {"53300", "refused by fault injection"}};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(faults)
+
+// Guards against a silent target that still answers, or that loses what was sent to it.
+BOOST_DATA_TEST_CASE(silent_target_answers_later, boost::unit_test::data::make(silences), item) {
+    const target_process target("a", {"--primary"});
+    client connection(target.port());
+    BOOST_TEST_REQUIRE(connection.is_open());
+    target.control(item.control, item.on);
+    connection.send(insert_order, {"1", "barn", "3"});
+    // The second control call is answered after the target could have read the statement.
+    target.control("lag_ms", "0");
+    BOOST_TEST(!connection.has_answer());
+    target.control(item.control, item.off);
+    BOOST_TEST(connection.receive().tag == "INSERT 0 1");
+}
+
+// Guards against isolation that also cuts off other clients.
+BOOST_AUTO_TEST_CASE(isolation_spares_other_clients) {
+    const target_process target("a", {"--primary"});
+    target.control("isolate", "host-1,host-2");
+    client other(target.port(), "host-3");
+    BOOST_TEST(other.run(count_orders).value(0, 0) == "0");
+}
+
+// Guards against a lost answer whose transaction did not take effect.
+BOOST_AUTO_TEST_CASE(connection_drops_after_commit) {
+    const target_process target("a", {"--primary"});
+    client connection(target.port());
+    target.control("drop_after_commit", "");
+    const std::vector<answer> answers = connection.run_pipeline(
+        {{"BEGIN", {}}, {insert_order, {"1", "barn", "3"}}, {"COMMIT", {}}});
+    BOOST_TEST(answers.front().sqlstate == "lost");
+    client next(target.port());
+    BOOST_TEST(next.run(count_orders).value(0, 0) == "1");
+    BOOST_TEST(next.run(insert_order, {"2", "barn", "3"}).tag == "INSERT 0 1");
+}
+
+// Guards against connections that a refusing target accepts.
+BOOST_DATA_TEST_CASE(connections_are_refused, boost::unit_test::data::make(refusals), item) {
+    const target_process target("a", {"--primary"});
+    client before(target.port());
+    target.control("reject_connections", item.value);
+    const client refused(target.port());
+    BOOST_TEST(!refused.is_open());
+    BOOST_TEST(refused.error().find(item.message) != std::string::npos);
+    BOOST_TEST(before.run(count_orders).value(0, 0) == "0");
+    target.control("reject_connections", "off");
+    BOOST_TEST(client(target.port()).is_open());
+}
+
+// Guards against a limit that counts control connections or never frees a connection.
+BOOST_AUTO_TEST_CASE(connections_are_limited) {
+    const target_process target("a", {"--primary", "--max_connections=1"});
+    {
+        const client first(target.port());
+        BOOST_TEST(first.is_open());
+        BOOST_TEST(!client(target.port()).is_open());
+    }
+    BOOST_TEST(client(target.port()).is_open());
+}
+
+// Guards against lag that is not applied, and against log that is lost when the lag ends.
+BOOST_AUTO_TEST_CASE(lag_delays_replicas) {
+    const auto group = start_group({"a", "b"}, {"--link_delay_ms=0.5"});
+    client primary(group[0]->port());
+    client replica(group[1]->port());
+    BOOST_TEST(replica.run(group_attest, {"1", "1", "20000"}).value(0, 2) == "1");
+    group[1]->control("lag_ms", "300");
+    BOOST_TEST(primary.run(insert_order, {"1", "barn", "3"}).sqlstate.empty());
+    BOOST_TEST(replica.run(group_attest, {"1", "2", "20000"}).value(0, 2) == "2");
+    BOOST_TEST(replica.run(group_guard, {"1", "2", "299"}).sqlstate == "DG004");
+    group[1]->control("lag_ms", "0");
+    BOOST_TEST(primary.run(insert_order, {"2", "barn", "3"}).sqlstate.empty());
+    BOOST_TEST(replica.run(group_attest, {"1", "3", "20000"}).value(0, 2) == "3");
+}
+
+// Guards against a member that restarts on the listed ports and is not found there.
+BOOST_AUTO_TEST_CASE(restarted_member_gets_the_log_again) {
+    auto group = start_group({"a", "b"});
+    client primary(group[0]->port());
+    BOOST_TEST(primary.run(insert_order, {"1", "barn", "3"}).sqlstate.empty());
+    const std::string members = "a=" + std::to_string(group[0]->port()) + ":" +
+                                std::to_string(group[0]->replication_port()) +
+                                ",b=" + std::to_string(group[1]->port()) + ":" +
+                                std::to_string(group[1]->replication_port());
+    group[1]->kill();
+    const target_process again("b", {"--members=" + members});
+    client replica(again.port());
+    BOOST_TEST(replica.run(group_attest, {"1", "2", "20000"}).value(0, 2) == "2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/standins/target/test/group_test.cpp
@@ -0,0 +1,181 @@
+#include "client.hpp"
+#include "statements.hpp"
+
+#include <lovagemoor/standin_target/target_process.hpp>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <ostream>
+#include <string>
+#include <vector>
+
+using lovagemoor::standin_target::start_group;
+using lovagemoor::standin_target::target_process;
+using namespace standin_target_test; // NOLINT(google-build-using-namespace)
+
+namespace {
+
+/// Long enough for a loaded machine; the call returns as soon as the position is held.
+const std::string patience_ms = "20000";
+
+struct group {
+    std::vector<std::unique_ptr<target_process>> targets;
+    client a;
+    client b;
+    client c;
+
+    explicit group(const std::vector<std::string>& flags = {})
+        : targets(start_group({"a", "b", "c"}, flags)),
+          a(targets[0]->port()),
+          b(targets[1]->port()),
+          c(targets[2]->port()) {}
+
+    /// Writes n orders on a and waits until b and c hold them.
+    void write_orders(int count) {
+        for (int id = 1; id <= count; ++id) {
+            BOOST_TEST(a.run(insert_order, {std::to_string(id), "barn", "1"}).sqlstate.empty());
+        }
+        wait_for(b, "1", std::to_string(count + 1));
+        wait_for(c, "1", std::to_string(count + 1));
+    }
+
+    static void wait_for(client& target, const std::string& term, const std::string& position) {
+        const answer held = target.run(group_attest, {term, position, patience_ms});
+        BOOST_TEST(held.value(0, 1) == term);
+        BOOST_TEST(held.value(0, 2) == position);
+    }
+};
+
+struct guard_case {
+    const char* name;
+    std::vector<std::string> parameters;
+    std::string expected;
+};
+
+std::ostream& operator<<(std::ostream& output, const guard_case& item) {
+    return output << item.name;
+}
+
+/// The log is: term 1 at 1, orders at 2 and 3, term 3 at 4, an order at 5.
+const std::vector<guard_case> guards{
+    {"an empty token", {"0", "0", "-1"}, ""},
+    {"the last entry", {"3", "5", "-1"}, ""},
+    {"a position ahead", {"3", "6", "-1"}, "DG002"},
+    {"a later term", {"4", "1", "-1"}, "DG002"},
+    {"the end of an earlier term", {"1", "3", "-1"}, ""},
+    {"an entry that a later term replaced", {"1", "4", "-1"}, "DG003"},
+    {"beyond the end of an earlier term", {"1", "5", "-1"}, "DG003"},
+    {"a term that left no entry", {"2", "4", "-1"}, "DG003"},
+    {"an age limit on the primary", {"3", "5", "0"}, ""},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(groups)
+
+// Guards against replicas that do not get the primary's log or accept writes.
+BOOST_AUTO_TEST_CASE(replicas_follow_the_primary) {
+    group members;
+    members.write_orders(3);
+    BOOST_TEST(members.b.run(count_orders).value(0, 0) == "3");
+    BOOST_TEST(members.b.run(insert_order, {"9", "a", "1"}).sqlstate == "25006");
+    BOOST_TEST(members.b.run(group_status).value(0, 3) == "f");
+}
+
+// Guards against one log entry per statement instead of per transaction.
+BOOST_AUTO_TEST_CASE(a_transaction_is_one_log_entry) {
+    group members;
+    const std::vector<answer> answers = members.a.run_pipeline({{"BEGIN", {}},
+                                                                {insert_order, {"1", "a", "1"}},
+                                                                {insert_order, {"2", "a", "1"}},
+                                                                {"COMMIT", {}},
+                                                                {group_position, {}}});
+    BOOST_TEST(answers.back().value(0, 1) == "2");
+}
+
+// Guards against tokens being covered by a log that does not contain their position.
+BOOST_DATA_TEST_CASE(guard_checks_the_log, boost::unit_test::data::make(guards), item) {
+    const target_process target("a", {"--primary"});
+    client connection(target.port());
+    BOOST_TEST(connection.run(insert_order, {"1", "a", "1"}).sqlstate.empty());
+    BOOST_TEST(connection.run(insert_order, {"2", "a", "1"}).sqlstate.empty());
+    BOOST_TEST(connection.run(group_promote, {"3"}).value(0, 1) == "4");
+    BOOST_TEST(connection.run(insert_order, {"3", "a", "1"}).sqlstate.empty());
+    BOOST_TEST(connection.run(group_guard, item.parameters).sqlstate == item.expected);
+}
+
+// Guards against two primaries that both commit.
+BOOST_AUTO_TEST_CASE(raised_primary_refuses_commit) {
+    group members;
+    members.write_orders(1);
+    BOOST_TEST(members.a.run("BEGIN").tag == "BEGIN");
+    BOOST_TEST(members.a.run(insert_order, {"2", "a", "1"}).sqlstate.empty());
+    client candidate(members.targets[0]->port());
+    BOOST_TEST(candidate.run(group_raise, {"2"}).value(0, 0) == "2");
+    BOOST_TEST(members.a.run("COMMIT").sqlstate == "25006");
+    BOOST_TEST(members.a.transaction_status() == PQTRANS_IDLE);
+    BOOST_TEST(members.a.run(count_orders).value(0, 0) == "1");
+    BOOST_TEST(candidate.run(group_raise, {"1"}).sqlstate == "DG001");
+    BOOST_TEST(candidate.run(group_promote, {"1"}).sqlstate == "DG001");
+}
+
+// Guards against a repeated promotion that opens the term twice.
+BOOST_AUTO_TEST_CASE(promotion_moves_the_group) {
+    group members;
+    members.write_orders(2);
+    BOOST_TEST(members.b.run(group_raise, {"2"}).value(0, 0) == "2");
+    BOOST_TEST(members.c.run(group_raise, {"2"}).value(0, 0) == "2");
+    BOOST_TEST(members.b.run(group_promote, {"2"}).value(0, 1) == "4");
+    BOOST_TEST(members.b.run(group_promote, {"2"}).value(0, 1) == "4");
+    group::wait_for(members.a, "2", "4");
+    group::wait_for(members.c, "2", "4");
+    BOOST_TEST(members.a.run(group_status).value(0, 3) == "f");
+    BOOST_TEST(members.b.run(insert_order, {"9", "a", "1"}).sqlstate.empty());
+    group::wait_for(members.a, "2", "5");
+}
+
+// Guards against a former primary that keeps writes which the group has lost.
+BOOST_AUTO_TEST_CASE(diverged_tail_is_truncated) {
+    group members;
+    members.write_orders(2);
+    members.targets[0]->control("cut_replication", "on");
+    BOOST_TEST(members.a.run(insert_order, {"7", "lost", "1"}).sqlstate.empty());
+    BOOST_TEST(members.a.run(insert_order, {"8", "lost", "1"}).sqlstate.empty());
+    BOOST_TEST(members.b.run(group_raise, {"2"}).value(0, 0) == "2");
+    BOOST_TEST(members.b.run(group_promote, {"2"}).value(0, 1) == "4");
+    members.targets[0]->control("cut_replication", "off");
+    group::wait_for(members.a, "2", "4");
+    BOOST_TEST(members.a.run(count_orders).value(0, 0) == "2");
+    BOOST_TEST(members.a.run(group_guard, {"1", "5", "-1"}).sqlstate == "DG003");
+}
+
+// Guards against a replica that takes log of a lower term after its promise.
+BOOST_AUTO_TEST_CASE(raised_replica_takes_no_lower_term) {
+    group members;
+    members.write_orders(1);
+    BOOST_TEST(members.b.run(group_raise, {"2"}).value(0, 0) == "2");
+    BOOST_TEST(members.a.run(insert_order, {"2", "a", "1"}).sqlstate.empty());
+    group::wait_for(members.c, "1", "3");
+    const answer held = members.b.run(group_attest, {"1", "3", "0"});
+    BOOST_TEST(held.value(0, 0) == "2");
+    BOOST_TEST(held.value(0, 2) == "2");
+}
+
+// Guards against an age that hides the time since the last contact with the primary.
+BOOST_AUTO_TEST_CASE(cut_replica_becomes_too_old) {
+    group members;
+    members.write_orders(1);
+    BOOST_TEST(members.b.run(group_guard, {"1", "2", patience_ms}).sqlstate.empty());
+    members.targets[1]->control("cut_replication", "on");
+    answer guarded;
+    while (guarded.sqlstate.empty()) {
+        guarded = members.b.run(group_guard, {"1", "2", "50"});
+    }
+    BOOST_TEST(guarded.sqlstate == "DG004");
+    BOOST_TEST(members.b.run(group_guard, {"1", "2", "-1"}).sqlstate.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
