Add the codec for messages between hosts

Hosts exchange protobuf over ZeroMQ and need a conversion of every alternative of core::peer_message that survives damaged and hostile input.

Decoding checks enumerations, required parts and durations, and returns a codec_error. Durations are limited to ten years, so that adding one to a time_point cannot overflow; a negative time left is sent as zero. SQL text, column names and database messages are bytes, because one string that is not UTF-8 would make protobuf reject the whole message.

Reusing caller.proto's Outcome was ruled out: it carries text as strings and times in milliseconds.

--- a/packages/codec/src/field_conversion.hpp
+++ b/packages/codec/src/field_conversion.hpp
@@ -2,8 +2,6 @@
 
 #include <lovagemoor/codec/codec_error.hpp>
 
-#include <boost/outcome/try.hpp>
-
 #include <google/protobuf/message_lite.h>
 
 #include <algorithm>
@@ -13,7 +11,6 @@
 #include <string>
 #include <string_view>
 #include <utility>
-#include <vector>
 
 namespace lovagemoor::codec::internal {
 
@@ -43,16 +40,50 @@
     return boost::outcome_v2::success();
 }
 
-/// @brief Converts a repeated field with from_message().
-template <typename Record, typename Messages>
-[[nodiscard]] result<std::vector<Record>> from_messages(const Messages& messages) {
-    std::vector<Record> records;
-    records.reserve(static_cast<std::size_t>(messages.size()));
-    for (const auto& message : messages) {
-        BOOST_OUTCOME_TRY(record, from_message(message));
-        records.push_back(std::move(record));
+/// @brief Longest duration in a message. Any core duration up to it can be added to a time_point
+/// without overflow.
+inline constexpr std::chrono::hours longest_duration{10 * 365 * 24};
+
+/// @return The duration's count, limited to 0 to longest_duration.
+template <typename Period>
+[[nodiscard]] std::uint64_t
+bounded_count(std::chrono::duration<std::int64_t, Period> value) noexcept {
+    using duration = std::chrono::duration<std::int64_t, Period>;
+    return static_cast<std::uint64_t>(
+        std::clamp<duration>(value, duration{0}, longest_duration).count());
+}
+
+/// @brief Reads the count of a duration into the field of a record.
+/// @return out_of_range above longest_duration.
+template <typename Period>
+[[nodiscard]] result<void> read_duration(std::uint64_t count,
+                                         std::chrono::duration<std::int64_t, Period>& field) {
+    using duration = std::chrono::duration<std::int64_t, Period>;
+    if (count > bounded_count(duration::max())) {
+        return codec_error::out_of_range;
     }
-    return records;
+    field = duration{static_cast<std::int64_t>(count)};
+    return boost::outcome_v2::success();
+}
+
+/// @brief Converts an enumerator of the core to the one of a message. The message's enumerators
+/// have the same order and start at 1, because 0 stands for unspecified.
+template <typename Message, typename Core>
+[[nodiscard]] Message shifted_enum(Core value) noexcept {
+    return static_cast<Message>(static_cast<int>(value) + 1);
+}
+
+/// @brief Reverses shifted_enum().
+/// @param last The core's last enumerator.
+/// @return unknown_enumerator for unspecified and for values beyond `last`.
+template <typename Core, typename Message>
+[[nodiscard]] result<void> read_enum(Message value, Core last, Core& field) {
+    const int number = static_cast<int>(value) - 1;
+    if (number < 0 || number > static_cast<int>(last)) {
+        return codec_error::unknown_enumerator;
+    }
+    field = static_cast<Core>(number);
+    return boost::outcome_v2::success();
 }
 
 /// @brief Parses a serialized message without throwing.
--- a/packages/codec/src/record_codec.cpp
+++ b/packages/codec/src/record_codec.cpp
@@ -5,6 +5,8 @@
 
 #include "field_conversion.hpp"
 
+#include <boost/outcome/try.hpp>
+
 #include <utility>
 
 namespace lovagemoor::codec {
--- a/packages/codec/src/record_messages.cpp
+++ b/packages/codec/src/record_messages.cpp
@@ -1,6 +1,7 @@
 #include <lovagemoor/codec/record_messages.hpp>
 
 #include "field_conversion.hpp"
+#include "repeated_field.hpp"
 
 #include <boost/outcome/try.hpp>
 
@@ -88,9 +89,7 @@
 records::v1::Configuration to_message(const core::configuration& configuration) {
     records::v1::Configuration message;
     message.set_version(configuration.version);
-    for (const core::service_record& service : configuration.services) {
-        *message.add_services() = to_message(service);
-    }
+    internal::add_messages(configuration.services, *message.mutable_services());
     for (const std::string& operation : configuration.operation_ids) {
         message.add_operation_ids(operation);
     }
@@ -165,9 +164,7 @@
 records::v1::Group to_message(const core::group_record& group) {
     records::v1::Group message;
     message.set_id(group.id.value);
-    for (const core::target_record& target : group.targets) {
-        *message.add_targets() = to_message(target);
-    }
+    internal::add_messages(group.targets, *message.mutable_targets());
     return message;
 }
 
--- a/packages/codec/test/generators.hpp
+++ b/packages/codec/test/generators.hpp
@@ -5,7 +5,9 @@
 #include <rapidcheck.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -115,4 +117,126 @@
     return record;
 }
 
+inline std::string any_bytes() {
+    return *rc::gen::arbitrary<std::string>();
+}
+
+template <typename Duration>
+Duration any_duration() {
+    return Duration{*rc::gen::inRange<std::int64_t>(0, 86'400'000)};
+}
+
+template <typename Enum>
+Enum any_enum(Enum last) {
+    return static_cast<Enum>(*rc::gen::inRange(0, static_cast<int>(last) + 1));
+}
+
+inline core::sql_value any_value() {
+    return any_bool() ? core::sql_value{any_bytes()} : core::sql_value{};
+}
+
+inline core::row any_row() {
+    return any_list(any_value);
+}
+
+inline core::forward_request any_forward_request() {
+    core::forward_request request;
+    request.id = any_u64();
+    request.operation = any_enum(core::forwarded_operation::rollback);
+    request.service.value = any_text();
+    request.group.value = any_text();
+    request.target.value = any_name();
+    request.statement = core::statement{any_bytes(), any_row()};
+    request.priority = any_enum(core::urgency::bulk);
+    request.remaining = any_duration<core::duration>();
+    request.guard = core::read_guard{any_u64(), any_u64(), std::nullopt};
+    if (any_bool()) {
+        request.guard.max_age = any_duration<std::chrono::milliseconds>();
+    }
+    request.idempotency_key = any_bytes();
+    request.digest = any_bytes();
+    request.transaction = any_u64();
+    request.owner_incarnation = any_u64();
+    return request;
+}
+
+inline core::forward_rows any_forward_rows() {
+    return core::forward_rows{any_u64(), any_u32(), {any_list(any_bytes), any_list(any_row)}};
+}
+
+inline core::outcome any_outcome() {
+    switch (*rc::gen::inRange(0, 4)) {
+    case 0:
+        return core::done{any_u64(), any_u64(), any_bool()};
+    case 1:
+        return core::refused{any_enum(core::refusal_reason::target_leaving),
+                             any_duration<core::duration>(), any_bytes(), any_bytes()};
+    case 2:
+        return core::failed{any_enum(core::failure_reason::result_too_large), any_bytes(),
+                            any_bytes()};
+    default:
+        return core::outcome_unknown{any_enum(core::unknown_reason::no_quorum)};
+    }
+}
+
+inline core::forward_outcome any_forward_outcome() {
+    core::forward_outcome outcome;
+    outcome.id = any_u64();
+    outcome.result = any_outcome();
+    outcome.batches = any_u32();
+    outcome.shown = core::group_position{{any_text()}, any_u64(), any_u64()};
+    outcome.transaction = any_u64();
+    outcome.owner_incarnation = any_u64();
+    outcome.observation = core::target_observation{{any_text()},
+                                                   any_u64(),
+                                                   any_u64(),
+                                                   any_duration<std::chrono::milliseconds>(),
+                                                   any_bool(),
+                                                   any_bool(),
+                                                   any_duration<core::duration>()};
+    return outcome;
+}
+
+inline core::member_update any_member() {
+    return core::member_update{any_host(), any_u64(), any_enum(core::member_state::dead),
+                               any_u64()};
+}
+
+inline core::gossip_header any_gossip() {
+    return core::gossip_header{any_member(), any_list(any_member), any_u64()};
+}
+
+/// @param alternative Index of the message's type in core::peer_message.
+inline core::peer_message any_peer_message(std::size_t alternative) {
+    switch (alternative) {
+    case 0:
+        return any_forward_request();
+    case 1:
+        return any_forward_rows();
+    case 2:
+        return any_forward_outcome();
+    case 3:
+        return core::forward_cancel{any_u64()};
+    case 4:
+        return core::membership_ping{any_u64(), any_gossip()};
+    case 5:
+        return core::membership_ack{any_u64(), {any_name()}, any_gossip()};
+    case 6:
+        return core::membership_ping_request{any_u64(), {any_name()}, any_gossip()};
+    case 7:
+        return core::membership_sync{any_bool(), any_gossip()};
+    case 8:
+        return core::view_push{any_u32(), any_list(any_record)};
+    case 9:
+        return core::view_request{any_list([] {
+            return core::record_revision{any_name(), *rc::gen::arbitrary<std::int64_t>()};
+        })};
+    case 10:
+        return core::view_reply{any_list(any_record)};
+    default:
+        return core::primary_report{
+            {any_name()}, {any_text()}, any_u64(), any_bool(), any_duration<core::duration>()};
+    }
+}
+
 } // namespace lovagemoor::codec::testing
