--- a/packages/core/include/lovagemoor/core/owner_service.hpp
+++ b/packages/core/include/lovagemoor/core/owner_service.hpp
@@ -7,6 +7,7 @@
 #include <lovagemoor/core/connection_pool.hpp>
 #include <lovagemoor/core/event.hpp>
 #include <lovagemoor/core/id_source.hpp>
+#include <lovagemoor/core/replay_window.hpp>
 #include <lovagemoor/core/settings.hpp>
 #include <lovagemoor/core/statement_costs.hpp>
 #include <lovagemoor/core/target_queue.hpp>
@@ -124,9 +125,17 @@
         connection_id connection = 0;
     };
 
+    struct received_window {
+        replay_window window;
+        time_point last_used;
+    };
+
     using request_map = std::unordered_map<std::uint64_t, owned_request>;
 
     // Admission.
+    [[nodiscard]] bool accept_once(time_point now, const host_id& entry, request_id request);
+    void cancel_unknown(time_point now, const host_id& entry, request_id request,
+                        action_list& actions);
     [[nodiscard]] std::optional<refused>
     check_submission(time_point now, const forward_request& request, urgency priority);
     [[nodiscard]] std::optional<refused> check_transaction(const forward_request& request);
@@ -201,6 +210,7 @@
     std::map<target_id, target_lane> lanes_;
     request_map requests_;
     std::map<std::pair<host_id, request_id>, std::uint64_t> tickets_;
+    std::map<host_id, received_window> received_;
     std::unordered_map<job_id, std::uint64_t> jobs_;
     std::unordered_map<job_id, reset_in_progress> resets_;
     std::set<std::pair<time_point, std::uint64_t>> deadlines_;
--- /dev/null
+++ b/packages/core/include/lovagemoor/core/result_assembly.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <lovagemoor/core/statement.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace lovagemoor::core {
+
+/// @brief Restores the order of a result's batches and shows whether it is complete.
+///
+/// A batch that arrives twice counts once. Rows leave only in sequence, so a result with a gap is
+/// never complete.
+class result_assembly {
+public:
+    void add(std::uint32_t sequence, row_batch batch) {
+        if (sequence < next_ || ahead_.contains(sequence)) {
+            return;
+        }
+        if (sequence - next_ > max_batches_ahead) {
+            broken_ = true;
+            return;
+        }
+        ahead_.emplace(sequence, std::move(batch));
+        while (!ahead_.empty() && ahead_.begin()->first == next_) {
+            ready_bytes_ += size_of(ahead_.begin()->second);
+            ready_.push_back(std::move(ahead_.begin()->second));
+            ahead_.erase(ahead_.begin());
+            ++next_;
+        }
+    }
+
+    /// @return True if exactly the batches from 0 to `batches` - 1 arrived.
+    [[nodiscard]] bool is_complete(std::uint32_t batches) const noexcept {
+        return !broken_ && ahead_.empty() && next_ == batches;
+    }
+
+    /// @return True if batches may still be on their way.
+    [[nodiscard]] bool may_become_complete(std::uint32_t batches) const noexcept {
+        return !broken_ && next_ < batches;
+    }
+
+    /// @return Bytes of the values in the batches that take_ready() would return.
+    [[nodiscard]] std::size_t ready_bytes() const noexcept { return ready_bytes_; }
+
+    [[nodiscard]] std::vector<row_batch> take_ready() noexcept {
+        ready_bytes_ = 0;
+        return std::exchange(ready_, {});
+    }
+
+private:
+    /// Bounds the memory that a gap can hold.
+    static constexpr std::uint32_t max_batches_ahead = 64;
+
+    [[nodiscard]] static std::size_t size_of(const row_batch& batch) noexcept {
+        std::size_t bytes = 0;
+        for (const row& values : batch.rows) {
+            for (const sql_value& value : values) {
+                bytes += sizeof value + (value.has_value() ? value->size() : 0);
+            }
+        }
+        return bytes;
+    }
+
+    std::uint32_t next_ = 0;
+    std::map<std::uint32_t, row_batch> ahead_;
+    std::vector<row_batch> ready_;
+    std::size_t ready_bytes_ = 0;
+    bool broken_ = false;
+};
+
+} // namespace lovagemoor::core
--- a/packages/core/include/lovagemoor/core/transactions.hpp
+++ b/packages/core/include/lovagemoor/core/transactions.hpp
@@ -19,6 +19,9 @@
     connection_id connection = 0;
     /// Term of the primary when the transaction began.
     term_number term = 0;
+    /// The begin request, by which its entry host can abandon the transaction.
+    host_id begun_by;
+    request_id begun_as = 0;
     /// Key of the claim that covers the transaction, empty without one.
     std::string idempotency_key;
     /// End of the latest statement.
@@ -56,6 +59,17 @@
         return result;
     }
 
+    /// @return The open transaction that the request began, or null.
+    [[nodiscard]] const open_transaction* find_begun(const host_id& entry,
+                                                     request_id request) const noexcept {
+        for (const auto& [id, transaction] : transactions_) {
+            if (transaction.begun_as == request && transaction.begun_by == entry) {
+                return &transaction;
+            }
+        }
+        return nullptr;
+    }
+
     /// @return Earliest `last_used` of the transactions that are not busy; max() without one.
     [[nodiscard]] time_point oldest_idle() const noexcept {
         time_point result = time_point::max();
--- a/packages/core/src/owner_service.cpp
+++ b/packages/core/src/owner_service.cpp
@@ -4,6 +4,13 @@
 
 namespace lovagemoor::core {
 
+namespace internal {
+
+/// Longer than any request can be delayed and still have time left.
+constexpr duration received_window_lifetime = std::chrono::minutes{10};
+
+} // namespace internal
+
 owner_service::owner_service(const core_settings& settings, const cluster_view& view,
                              acknowledger& acknowledgements, id_source& ids)
     : settings_{settings},
@@ -15,7 +22,7 @@
 
 void owner_service::submit(time_point now, const host_id& entry, const forward_request& request,
                            action_list& actions) {
-    if (tickets_.contains({entry, request.id})) {
+    if (!accept_once(now, entry, request.id)) {
         return;
     }
     const urgency priority = scheduling_class(request);
@@ -55,6 +62,7 @@
                            action_list& actions) {
     const auto found = tickets_.find({entry, request});
     if (found == tickets_.end()) {
+        cancel_unknown(now, entry, request, actions);
         return;
     }
     owned_request& owned = requests_.at(found->second);
@@ -71,6 +79,27 @@
     dispatch(now, target, actions);
 }
 
+void owner_service::cancel_unknown(time_point now, const host_id& entry, request_id request,
+                                   action_list& actions) {
+    // The cancellation may arrive before its request, which then must not run.
+    if (accept_once(now, entry, request)) {
+        return;
+    }
+    const open_transaction* begun = transactions_.find_begun(entry, request);
+    if (begun != nullptr && !begun->busy && !begun->lost) {
+        const target_id target = begun->target;
+        lane_of(target).pool.close(begun->connection, actions);
+        transactions_.erase(begun->id);
+        dispatch(now, target, actions);
+    }
+}
+
+bool owner_service::accept_once(time_point now, const host_id& entry, request_id request) {
+    received_window& window = received_[entry];
+    window.last_used = now;
+    return window.window.accept(request);
+}
+
 void owner_service::on_connection_opened(time_point now, const connection_opened& opened,
                                          action_list& actions) {
     const auto found = lanes_.find(opened.target);
@@ -148,6 +177,9 @@
 void owner_service::on_timer(time_point now, action_list& actions) {
     expire_deadlines(now, actions);
     expire_transactions(now, actions);
+    std::erase_if(received_, [now](const auto& entry) {
+        return now - entry.second.last_used > internal::received_window_lifetime;
+    });
     for (auto& [target, lane] : lanes_) {
         dispatch(now, target, actions);
     }
