Add the mailbox between tasks

Tasks exchange messages through a queue with many producers and one consumer.

Both may be bounded; a push to a full or closed mailbox is refused and never blocks.

--- /dev/null
+++ b/packages/telemetry/include/lovagemoor/telemetry/fwd.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace lovagemoor::telemetry {
+
+template <typename T>
+class mailbox;
+template <typename T>
+class polled_mailbox;
+class wakeup_descriptor;
+
+} // namespace lovagemoor::telemetry
--- /dev/null
+++ b/packages/telemetry/include/lovagemoor/telemetry/polled_mailbox.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <lovagemoor/telemetry/mailbox.hpp>
+#include <lovagemoor/telemetry/wakeup_descriptor.hpp>
+
+#include <cstddef>
+#include <deque>
+#include <limits>
+#include <utility>
+
+namespace lovagemoor::telemetry {
+
+/// @brief Mailbox for a consumer that waits in a poll loop.
+template <typename T>
+class polled_mailbox {
+public:
+    /// @param capacity Highest number of messages that may wait.
+    explicit polled_mailbox(std::size_t capacity = std::numeric_limits<std::size_t>::max())
+        : messages_{capacity} {}
+
+    /// @brief Adds a message and makes the descriptor readable.
+    /// @return False when the mailbox is full or closed; the message is dropped.
+    [[nodiscard]] bool push(T message) {
+        if (!messages_.push(std::move(message))) {
+            return false;
+        }
+        wakeup_.signal();
+        return true;
+    }
+
+    /// @brief Clears the descriptor and takes what waits.
+    /// @return All waiting messages, oldest first.
+    [[nodiscard]] std::deque<T> take_all() {
+        // In this order a message pushed between the two calls leaves the descriptor readable.
+        wakeup_.clear();
+        return messages_.take_all();
+    }
+
+    /// @brief Rejects further messages and makes the descriptor readable.
+    void close() {
+        messages_.close();
+        wakeup_.signal();
+    }
+
+    [[nodiscard]] bool closed() const { return messages_.closed(); }
+
+    /// @return The descriptor to poll for POLLIN.
+    [[nodiscard]] int descriptor() const noexcept { return wakeup_.descriptor(); }
+
+private:
+    mailbox<T> messages_;
+    wakeup_descriptor wakeup_;
+};
+
+} // namespace lovagemoor::telemetry
