Add the task for messages between hosts

The core sends and receives core::peer_message through a driver that never blocks it.

One thread owns a ROUTER that receives and a DEALER per destination that sends. ZeroMQ by itself keeps messages for an unreachable host and delivers them after a partition, so that a forwarded request could run long after its deadline. ZMTP heartbeats were ruled out: they cost traffic on each open connection, and membership already detects a frozen host.

Each message names its receiver, because a new host may take over the address of a replaced one.

--- /dev/null
+++ b/packages/host/src/peer_link.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <lovagemoor/host/peer_task.hpp>
+
+#include <zmq.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <string>
+
+namespace lovagemoor::host::internal {
+
+using steady_clock = std::chrono::steady_clock;
+
+/// @brief A message in the form in which it is sent.
+struct outgoing_message {
+    std::string payload;
+    bool is_data = false;
+    steady_clock::time_point created;
+};
+
+/// @brief Size of a message's frames.
+[[nodiscard]] std::size_t frames_size(const core::host_id& from, const core::host_id& to,
+                                      std::size_t payload_size) noexcept;
+
+/// @brief DEALER socket to one host, with the messages that wait for its connection.
+class peer_link {
+public:
+    /// @throws zmq::error_t when the address is no endpoint.
+    peer_link(zmq::context_t& context, const peer_settings& settings, core::host_id to,
+              std::string address, steady_clock::time_point now);
+
+    [[nodiscard]] const std::string& address() const noexcept { return address_; }
+
+    [[nodiscard]] bool has_pending() const noexcept { return !pending_.empty(); }
+
+    /// @return The time at which the oldest waiting message is dropped, or else at which the link
+    /// is idle.
+    [[nodiscard]] steady_clock::time_point next_expiry() const noexcept;
+
+    [[nodiscard]] bool idle_at(steady_clock::time_point now) const noexcept;
+
+    [[nodiscard]] zmq::socket_ref socket() noexcept { return socket_; }
+
+    /// @brief Queues a message; counts it as dropped when the queue is full.
+    void push(outgoing_message message, peer_counters& counters);
+
+    /// @brief Drops waiting messages that are too old and sends what the connection accepts.
+    void flush(steady_clock::time_point now, peer_counters& counters);
+
+    /// @brief Drops all waiting messages and those that ZeroMQ still holds.
+    void abandon(peer_counters& counters);
+
+private:
+    [[nodiscard]] bool send(const std::string& payload);
+    void pop_pending();
+
+    const peer_settings* settings_;
+    core::host_id to_;
+    std::string address_;
+    zmq::socket_t socket_;
+    std::deque<outgoing_message> pending_;
+    std::size_t pending_bytes_ = 0;
+    steady_clock::time_point last_used_;
+};
+
+} // namespace lovagemoor::host::internal
