Add the platform's test double

Cause: the platform client and the host need the platform's key-value service in tests, and no third-party server may be started.

Change: standin_platform serves the etcd v3 subset of etcd.proto in memory: ranges, transactions with compares, leases that end on a monotonic clock, and watches from a history of bounded length.

--- /dev/null
+++ b/standins/platform/src/key_store.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <etcd.pb.h>
+
+#include <boost/outcome/boost_outcome.hpp>
+#include <boost/outcome/result.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lovagemoor::standin_platform {
+
+/// @brief Why the store rejected a call.
+enum class store_error : std::uint8_t {
+    lease_not_found,
+    lease_exists,
+    invalid_ttl,
+    /// A transaction puts the same key twice.
+    duplicate_key,
+    /// The start revision of a watch is no longer part of the history.
+    compacted,
+    /// Reads at a past revision are not part of the subset.
+    unsupported_revision,
+};
+
+[[nodiscard]] const char* to_string(store_error error) noexcept;
+
+template <typename T>
+using store_result = BOOST_OUTCOME_V2_NAMESPACE::checked<T, store_error>;
+
+/// @brief Keys from `key` up to, but without, `range_end`, with the conventions of etcd: an empty
+/// range_end selects the single key, "\0" all keys from `key` on.
+struct key_range {
+    std::string key;
+    std::string range_end;
+
+    [[nodiscard]] bool contains(std::string_view candidate) const noexcept;
+};
+
+/// @brief In-memory store with the semantics of the etcd v3 subset. Not thread-safe.
+class key_store {
+public:
+    /// Expiry of leases is judged on a monotonic clock.
+    using time_point = std::chrono::steady_clock::time_point;
+
+    /// @param history_limit Number of events that are kept for watches.
+    explicit key_store(std::size_t history_limit);
+
+    /// @return Revision of the latest change; 1 for an empty store, as in etcd.
+    [[nodiscard]] std::int64_t revision() const noexcept { return revision_; }
+
+    [[nodiscard]] store_result<etcdserverpb::RangeResponse>
+    range(const etcdserverpb::RangeRequest& request) const;
+
+    [[nodiscard]] store_result<etcdserverpb::PutResponse>
+    put(const etcdserverpb::PutRequest& request);
+
+    [[nodiscard]] etcdserverpb::DeleteRangeResponse
+    delete_range(const etcdserverpb::DeleteRangeRequest& request);
+
+    /// @brief Applies one branch of a transaction; all its writes share one revision.
+    [[nodiscard]] store_result<etcdserverpb::TxnResponse>
+    transact(const etcdserverpb::TxnRequest& request);
+
+    [[nodiscard]] store_result<etcdserverpb::LeaseGrantResponse>
+    grant_lease(time_point now, const etcdserverpb::LeaseGrantRequest& request);
+
+    [[nodiscard]] store_result<etcdserverpb::LeaseRevokeResponse>
+    revoke_lease(const etcdserverpb::LeaseRevokeRequest& request);
+
+    /// @return The renewed lease; a TTL of 0 when it does not exist.
+    [[nodiscard]] etcdserverpb::LeaseKeepAliveResponse
+    keep_alive(time_point now, const etcdserverpb::LeaseKeepAliveRequest& request);
+
+    /// @brief Deletes the leases that ended by `now` together with their keys.
+    void expire_leases(time_point now);
+
+    /// @return The events of the range from `start_revision` on, in order.
+    [[nodiscard]] store_result<std::vector<etcdserverpb::Event>>
+    events_since(std::int64_t start_revision, const key_range& keys) const;
+
+    /// @return The lowest revision from which a watch can start.
+    [[nodiscard]] std::int64_t oldest_start_revision() const noexcept { return compacted_ + 1; }
+
+private:
+    struct lease_state {
+        std::chrono::seconds ttl{0};
+        time_point expires_at;
+        std::set<std::string> keys;
+    };
+
+    using key_map = std::map<std::string, etcdserverpb::KeyValue, std::less<>>;
+
+    [[nodiscard]] etcdserverpb::ResponseHeader header() const;
+    [[nodiscard]] etcdserverpb::RangeResponse
+    read_range(const etcdserverpb::RangeRequest& request) const;
+    [[nodiscard]] bool holds(const etcdserverpb::Compare& compare) const;
+    [[nodiscard]] store_result<void> check_operations(
+        const google::protobuf::RepeatedPtrField<etcdserverpb::RequestOp>& operations) const;
+    [[nodiscard]] bool has_lease(std::int64_t id) const;
+    void write(std::int64_t at, const etcdserverpb::PutRequest& request);
+    std::int64_t erase(std::int64_t at, const key_range& keys);
+    void erase_lease(std::int64_t id);
+    void detach(const etcdserverpb::KeyValue& value);
+    void record(etcdserverpb::Event event);
+
+    std::size_t history_limit_;
+    std::int64_t revision_ = 1;
+    std::int64_t compacted_ = 0;
+    std::int64_t last_lease_id_ = 0;
+    key_map values_;
+    std::map<std::int64_t, lease_state> leases_;
+    std::deque<etcdserverpb::Event> history_;
+};
+
+} // namespace lovagemoor::standin_platform
