Add the promotion of targets

Cause: nobody else orders a promotion when a primary fails.

Change: promoter runs the election of section 4.4 with the candidate's delay, a timeout, read-back after platform calls of unknown effect, operators' requests, the first election of a group, claims that were abandoned and primaries that leave. A lost answer to the promotion leads to a new term, never to a second target in the same one. A planned promotion chooses another target only when a majority of others replied.

Ruled out: a timeout for the completing swap. Its compare makes it safe at any time, and giving up after a platform outage would cost one more election.

--- /dev/null
+++ b/packages/core/include/lovagemoor/core/promoter.hpp
@@ -0,0 +1,182 @@
+#pragma once
+
+#include <lovagemoor/core/action.hpp>
+#include <lovagemoor/core/cluster_view.hpp>
+#include <lovagemoor/core/event.hpp>
+#include <lovagemoor/core/id_source.hpp>
+#include <lovagemoor/core/ids.hpp>
+#include <lovagemoor/core/operator_call.hpp>
+#include <lovagemoor/core/settings.hpp>
+#include <lovagemoor/core/time.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace lovagemoor::core {
+
+/// @brief Why a promotion is started.
+enum class promotion_reason : std::uint8_t {
+    primary_suspected,
+    /// The group has no term record yet.
+    first_election,
+    /// A claimed term was not completed in time.
+    election_stuck,
+    /// The platform lists the primary as leaving, or no longer lists it.
+    primary_leaving,
+    operator_request,
+};
+
+[[nodiscard]] const char* to_string(promotion_reason value) noexcept;
+
+/// @brief Promotes targets: the election of section 4.4 of the design page.
+///
+/// A term is claimed by a compare-and-swap of the group's term record, so that no two candidates
+/// use the same one. Within a term one target at most is asked to promote: when its answer is lost,
+/// the next attempt claims a new term. A platform call whose effect is unknown is read back before
+/// the next step.
+class promoter {
+public:
+    /// @param is_suspected Tells whether the group's primary is still suspected after the
+    /// candidate's delay.
+    promoter(const core_settings& settings, const cluster_view& view, id_source& ids,
+             std::function<bool(const group_id&)> is_suspected);
+
+    /// @brief The group's primary is suspected; starts after the candidate's delay.
+    void suspect(time_point now, const group_id& group, action_list& actions);
+
+    /// @brief Starts a promotion for an operator, preferably of another target than the primary.
+    [[nodiscard]] promote_result request(time_point now, const group_id& group,
+                                         action_list& actions);
+
+    /// @return True if the call was issued by this object.
+    bool on_control_finished(time_point now, const control_finished& finished,
+                             action_list& actions);
+
+    /// @return True if the call was issued by this object.
+    bool on_platform_finished(time_point now, const platform_finished& finished,
+                              action_list& actions);
+    void on_timer(time_point now, action_list& actions);
+
+    /// @return Term records read or written since the last call, for view_sync::publish().
+    [[nodiscard]] std::vector<platform_record> take_new_records();
+
+    [[nodiscard]] time_point next_wakeup() const;
+
+private:
+    enum class stage : std::uint8_t {
+        /// Waits for the candidate's delay.
+        delayed,
+        /// Reads the term record.
+        reading,
+        /// Asks the targets which terms they promised.
+        surveying,
+        /// Swaps the record to the new term.
+        claiming,
+        /// Reads the record because the effect of the claim is unknown.
+        verifying_claim,
+        /// Raises the term at a majority.
+        raising,
+        /// Waits for the chosen target.
+        promoting,
+        /// Swaps the record to the serving phase.
+        finishing,
+        /// Reads the record because the effect of the last swap is unknown.
+        verifying_finish,
+    };
+
+    struct attempt {
+        std::uint64_t number = 0;
+        promotion_reason reason = promotion_reason::primary_suspected;
+        stage at = stage::delayed;
+        time_point since;
+        time_point step_since;
+        time_point deadline;
+        /// When the present step is repeated; time_point::max() while an answer is awaited.
+        time_point due = time_point::max();
+        /// Term and phase that the reason rests on.
+        term_number basis_term = 0;
+        term_phase basis_phase = term_phase::serving;
+        /// The record that the next swap replaces, and its revision.
+        term_record record;
+        std::int64_t revision = 0;
+        bool needs_survey = false;
+        term_number term = 0;
+        /// Not chosen if a majority of other targets replied.
+        std::set<target_id> avoided;
+        std::map<target_id, promise_reply> replies;
+        std::map<target_id, time_point> retry_at;
+        std::set<target_id> outstanding;
+        target_id chosen;
+        log_position start_position = 0;
+    };
+
+    struct issued_call {
+        group_id group;
+        std::uint64_t attempt = 0;
+    };
+
+    struct seen_election {
+        term_number term = 0;
+        time_point since;
+    };
+
+    attempt& open(time_point now, const group_id& group, promotion_reason reason);
+    void begin(time_point now, const group_id& group, attempt& current, action_list& actions);
+    [[nodiscard]] bool is_still_needed(const group_id& group, const attempt& current) const;
+    [[nodiscard]] duration candidate_delay(const group_id& group, term_number basis) const;
+
+    void scan(time_point now);
+    void scan_group(time_point now, const group_record& group);
+    void step(time_point now, const group_id& group, attempt& current, action_list& actions);
+    void call_platform_for(const group_id& group, attempt& current, const platform_call& request,
+                           action_list& actions);
+    void call_targets(time_point now, const group_id& group, attempt& current,
+                      const control_call& request, action_list& actions);
+    void claim(const group_id& group, attempt& current, action_list& actions);
+    void finish(const group_id& group, attempt& current, action_list& actions);
+
+    void on_record_read(time_point now, const group_id& group, attempt& current,
+                        const std::optional<platform_record>& record, action_list& actions);
+    void on_swapped(time_point now, const group_id& group, attempt& current,
+                    const platform_swapped& swapped, action_list& actions);
+    void on_platform_failed(time_point now, attempt& current, bool is_unknown);
+    void on_survey_reply(time_point now, const group_id& group, attempt& current,
+                         const control_finished& finished, action_list& actions);
+    void finish_survey(time_point now, const group_id& group, attempt& current,
+                       action_list& actions);
+    void on_raise_reply(time_point now, const group_id& group, attempt& current,
+                        const control_finished& finished, action_list& actions);
+    void on_promote_reply(time_point now, const group_id& group, attempt& current,
+                          const control_finished& finished, action_list& actions);
+    void choose(time_point now, const group_id& group, attempt& current, action_list& actions);
+    [[nodiscard]] std::optional<target_id> best_target(const group_record& group,
+                                                       const attempt& current) const;
+
+    void enter(time_point now, attempt& current, stage next);
+    void complete(time_point now, const group_id& group, action_list& actions);
+    void abandon(time_point now, const group_id& group, const char* cause, action_list& actions);
+    void restart(time_point now, const group_id& group, const char* cause, action_list& actions);
+    [[nodiscard]] bool has_majority(const group_id& group, const attempt& current) const;
+    void add_new_record(const platform_record& record);
+
+    const core_settings& settings_;
+    const cluster_view& view_;
+    id_source& ids_;
+    std::function<bool(const group_id&)> is_suspected_;
+    std::uint64_t last_attempt_ = 0;
+    std::map<group_id, attempt> attempts_;
+    std::map<call_id, issued_call> calls_;
+    std::map<group_id, seen_election> elections_;
+    /// Groups whose targets promised a term above the record's.
+    std::set<group_id> needs_survey_;
+    /// No planned promotion before this time.
+    std::map<group_id, time_point> planned_after_;
+    time_point next_scan_;
+    std::vector<platform_record> new_records_;
+};
+
+} // namespace lovagemoor::core
