Add the service for callers

The callback server of gRPC turns calls into events and finishes them on actions. Each streamed call has a queue, because gRPC allows one write at a time; a caller that reads too slowly is ended instead of growing the queue. Messages with missing fields are refused before the core.

--- /dev/null
+++ b/packages/caller/src/caller_task.cpp
@@ -0,0 +1,362 @@
+#include <lovagemoor/caller/caller_task.hpp>
+
+#include "caller_messages.hpp"
+
+#include <caller.grpc.pb.h>
+#include <grpcpp/grpcpp.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace lovagemoor::caller {
+
+namespace internal {
+
+core::answer_caller invalid_message(message_error error) {
+    core::refused refusal;
+    refusal.reason = core::refusal_reason::invalid_request;
+    refusal.detail = to_string(error);
+    return core::answer_caller{0, refusal, {}, {}};
+}
+
+/// A call in progress; perform() reaches it by its number.
+class open_call {
+public:
+    open_call() = default;
+    open_call(const open_call&) = delete;
+    open_call& operator=(const open_call&) = delete;
+    open_call(open_call&&) = delete;
+    open_call& operator=(open_call&&) = delete;
+    virtual ~open_call() = default;
+
+    virtual void add_rows(const core::row_batch& batch) = 0;
+    virtual void finish(const core::answer_caller& answer) = 0;
+};
+
+/// Numbers the calls in progress and connects them with the sink.
+///
+/// An entry stays until the core's answer or the caller's cancellation, whichever comes first;
+/// holding the lock while a call is used keeps the call alive, because a reactor removes its entry
+/// before it is deleted.
+class call_registry {
+public:
+    explicit call_registry(std::function<void(core::event)> sink) : sink_{std::move(sink)} {}
+
+    core::request_id add(open_call& call) {
+        const std::lock_guard lock{mutex_};
+        const core::request_id id = ++last_id_;
+        calls_[id] = &call;
+        return id;
+    }
+
+    void called(core::request_id id, core::caller_request request) {
+        sink_(core::caller_called{id, std::move(request)});
+    }
+
+    void add_rows(const core::send_rows_to_caller& action) {
+        const std::lock_guard lock{mutex_};
+        const auto found = calls_.find(action.id);
+        if (found != calls_.end()) {
+            found->second->add_rows(action.batch);
+        }
+    }
+
+    void finish(const core::answer_caller& answer) {
+        const std::lock_guard lock{mutex_};
+        const auto found = calls_.find(answer.id);
+        if (found != calls_.end()) {
+            open_call* call = found->second;
+            calls_.erase(found);
+            call->finish(answer);
+            empty_.notify_all();
+        }
+    }
+
+    /// Called when a call ends; tells the core if it has not answered.
+    void remove(core::request_id id) {
+        bool was_open = false;
+        {
+            const std::lock_guard lock{mutex_};
+            was_open = calls_.erase(id) > 0;
+            empty_.notify_all();
+        }
+        if (was_open) {
+            sink_(core::caller_cancelled{id});
+        }
+    }
+
+    void wait_empty(std::chrono::milliseconds limit) {
+        std::unique_lock lock{mutex_};
+        empty_.wait_for(lock, limit, [this] { return calls_.empty(); });
+    }
+
+private:
+    std::function<void(core::event)> sink_;
+    std::mutex mutex_;
+    std::condition_variable empty_;
+    std::map<core::request_id, open_call*> calls_;
+    core::request_id last_id_ = 0;
+};
+
+/// One Execute call. gRPC allows one write at a time, so that batches wait in a queue.
+class execute_reactor final : public grpc::ServerWriteReactor<proto::ExecuteResponse>,
+                              public open_call {
+public:
+    execute_reactor(call_registry& registry, std::size_t max_waiting,
+                    const proto::ExecuteRequest& message)
+        : registry_{registry}, max_waiting_{max_waiting} {
+        result<core::execute_request> request = from_message(message);
+        if (!request) {
+            finish(invalid_message(request.error()));
+            return;
+        }
+        id_ = registry_.add(*this);
+        registry_.called(id_, std::move(request.value()));
+    }
+
+    void add_rows(const core::row_batch& batch) override {
+        proto::ExecuteResponse response;
+        *response.mutable_rows() = to_message(batch);
+        enqueue(std::move(response), false);
+    }
+
+    void finish(const core::answer_caller& answer) override {
+        proto::ExecuteResponse response;
+        *response.mutable_outcome() = to_message(answer.result, answer.session_token);
+        enqueue(std::move(response), true);
+    }
+
+    void OnWriteDone(bool ok) override {
+        const std::lock_guard lock{mutex_};
+        waiting_.pop_front();
+        if (!ok) {
+            failed_ = true;
+            waiting_.clear();
+        }
+        advance();
+    }
+
+    void OnCancel() override {
+        registry_.remove(id_);
+        const std::lock_guard lock{mutex_};
+        failed_ = true;
+        if (waiting_.size() > 1) {
+            waiting_.erase(std::next(waiting_.begin()), waiting_.end());
+        }
+        if (waiting_.empty()) {
+            advance();
+        }
+    }
+
+    void OnDone() override {
+        registry_.remove(id_);
+        delete this;
+    }
+
+private:
+    void enqueue(proto::ExecuteResponse response, bool is_last) {
+        const std::lock_guard lock{mutex_};
+        is_answered_ = is_answered_ || is_last;
+        if (failed_) {
+            return;
+        }
+        if (waiting_.size() >= max_waiting_) {
+            failed_ = true;
+        }
+        waiting_.push_back(std::move(response));
+        if (waiting_.size() == 1) {
+            advance();
+        }
+    }
+
+    /// Starts the next write or ends the call; requires the lock and no write in progress.
+    void advance() {
+        if (is_finished_) {
+            return;
+        }
+        if (!failed_ && !waiting_.empty()) {
+            StartWrite(&waiting_.front());
+            return;
+        }
+        if (failed_ || is_answered_) {
+            is_finished_ = true;
+            Finish(failed_ ? grpc::Status{grpc::StatusCode::CANCELLED, "the call was given up"}
+                           : grpc::Status::OK);
+        }
+    }
+
+    call_registry& registry_;
+    std::size_t max_waiting_;
+    core::request_id id_ = 0;
+    std::mutex mutex_;
+    /// The first element is being written.
+    std::deque<proto::ExecuteResponse> waiting_;
+    bool is_answered_ = false;
+    bool failed_ = false;
+    bool is_finished_ = false;
+};
+
+/// A Begin, Commit or Rollback call.
+template <typename Response>
+class unary_reactor final : public grpc::ServerUnaryReactor, public open_call {
+public:
+    unary_reactor(call_registry& registry, Response& response)
+        : registry_{registry}, response_{response} {}
+
+    template <typename Request>
+    void start(result<Request> request) {
+        if (!request) {
+            finish(invalid_message(request.error()));
+            return;
+        }
+        id_ = registry_.add(*this);
+        registry_.called(id_, std::move(request.value()));
+    }
+
+    void add_rows(const core::row_batch& /*batch*/) override {}
+
+    void finish(const core::answer_caller& answer) override {
+        *response_.mutable_outcome() = to_message(answer.result, answer.session_token);
+        if constexpr (std::is_same_v<Response, proto::BeginResponse>) {
+            response_.set_transaction(answer.transaction);
+        }
+        if (!is_finished_.exchange(true)) {
+            Finish(grpc::Status::OK);
+        }
+    }
+
+    void OnCancel() override {
+        registry_.remove(id_);
+        if (!is_finished_.exchange(true)) {
+            Finish(grpc::Status{grpc::StatusCode::CANCELLED, "the call was given up"});
+        }
+    }
+
+    void OnDone() override {
+        registry_.remove(id_);
+        delete this;
+    }
+
+private:
+    call_registry& registry_;
+    Response& response_;
+    core::request_id id_ = 0;
+    std::atomic<bool> is_finished_{false};
+};
+
+class caller_service final : public proto::Caller::CallbackService {
+public:
+    caller_service(call_registry& registry, std::size_t max_waiting)
+        : registry_{registry}, max_waiting_{max_waiting} {}
+
+    // Reactors delete themselves in OnDone, which gRPC calls last.
+    // NOLINTBEGIN(cppcoreguidelines-owning-memory)
+    grpc::ServerWriteReactor<proto::ExecuteResponse>*
+    Execute(grpc::CallbackServerContext* /*context*/,
+            const proto::ExecuteRequest* request) override {
+        return new execute_reactor{registry_, max_waiting_, *request};
+    }
+
+    grpc::ServerUnaryReactor* Begin(grpc::CallbackServerContext* /*context*/,
+                                    const proto::BeginRequest* request,
+                                    proto::BeginResponse* response) override {
+        unary_reactor<proto::BeginResponse>* reactor =
+            new unary_reactor<proto::BeginResponse>{registry_, *response};
+        reactor->start(from_message(*request));
+        return reactor;
+    }
+
+    grpc::ServerUnaryReactor* Commit(grpc::CallbackServerContext* /*context*/,
+                                     const proto::EndRequest* request,
+                                     proto::EndResponse* response) override {
+        return start_end(*request, *response, core::transaction_end::commit);
+    }
+
+    grpc::ServerUnaryReactor* Rollback(grpc::CallbackServerContext* /*context*/,
+                                       const proto::EndRequest* request,
+                                       proto::EndResponse* response) override {
+        return start_end(*request, *response, core::transaction_end::rollback);
+    }
+
+private:
+    grpc::ServerUnaryReactor* start_end(const proto::EndRequest& request,
+                                        proto::EndResponse& response, core::transaction_end how) {
+        unary_reactor<proto::EndResponse>* reactor =
+            new unary_reactor<proto::EndResponse>{registry_, response};
+        reactor->start(from_message(request, how));
+        return reactor;
+    }
+
+    // NOLINTEND(cppcoreguidelines-owning-memory)
+
+    call_registry& registry_;
+    std::size_t max_waiting_;
+};
+
+} // namespace internal
+
+listen_error::listen_error(const std::string& address)
+    : std::runtime_error{"cannot listen on " + address} {}
+
+class caller_task::implementation {
+public:
+    implementation(const caller_settings& settings, std::function<void(core::event)> sink)
+        : registry_{std::move(sink)}, service_{registry_, settings.max_waiting_batches} {
+        grpc::ServerBuilder builder;
+        int port = 0;
+        builder.AddListeningPort(settings.listen, grpc::InsecureServerCredentials(), &port);
+        builder.SetMaxReceiveMessageSize(static_cast<int>(settings.max_message_bytes));
+        builder.RegisterService(&service_);
+        // Without it, a second process on the same port would get a share of the calls.
+        builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+        server_ = builder.BuildAndStart();
+        if (server_ == nullptr || port == 0) {
+            throw listen_error{settings.listen};
+        }
+        address_ = settings.listen.substr(0, settings.listen.rfind(':') + 1) + std::to_string(port);
+    }
+
+    internal::call_registry& registry() noexcept { return registry_; }
+
+    [[nodiscard]] const std::string& address() const noexcept { return address_; }
+
+    void shutdown(std::chrono::milliseconds limit) {
+        registry_.wait_empty(limit);
+        server_->Shutdown(std::chrono::system_clock::now() + limit);
+    }
+
+private:
+    internal::call_registry registry_;
+    internal::caller_service service_;
+    std::unique_ptr<grpc::Server> server_;
+    std::string address_;
+};
+
+caller_task::caller_task(const caller_settings& settings, std::function<void(core::event)> sink)
+    : implementation_{std::make_unique<implementation>(settings, std::move(sink))} {}
+
+caller_task::~caller_task() {
+    implementation_->shutdown(std::chrono::milliseconds{0});
+}
+
+const std::string& caller_task::address() const noexcept {
+    return implementation_->address();
+}
+
+void caller_task::perform(const core::send_rows_to_caller& action) {
+    implementation_->registry().add_rows(action);
+}
+
+void caller_task::perform(const core::answer_caller& action) {
+    implementation_->registry().finish(action);
+}
+
+void caller_task::shutdown(std::chrono::milliseconds limit) {
+    implementation_->shutdown(limit);
+}
+
+} // namespace lovagemoor::caller
