Add the logger and the metrics

The core's log_event, count_metric and observe_duration need a driver.

logger writes one key=value line per event through Boost.Log. Its queue is bounded and drops with a count, because a blocked stderr must not stop the engine task. Each logger has its own channel, so that several hosts in one test process keep their lines apart.

metrics holds a prometheus-cpp registry and exposer. Time series are cached by name and labels, limited to 10,000, and an unusable metric is counted instead of throwing. Durations are observed in seconds.

The asynchronous sink with an unbounded queue was ruled out, because memory would grow while stderr is blocked.

--- a/packages/telemetry/include/lovagemoor/telemetry/fwd.hpp
+++ b/packages/telemetry/include/lovagemoor/telemetry/fwd.hpp
@@ -2,6 +2,8 @@
 
 namespace lovagemoor::telemetry {
 
+class logger;
+class metrics;
 template <typename T>
 class mailbox;
 template <typename T>
--- /dev/null
+++ b/packages/telemetry/include/lovagemoor/telemetry/logger.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <lovagemoor/core/action.hpp>
+#include <lovagemoor/core/ids.hpp>
+
+#include <cstdint>
+#include <iosfwd>
+#include <memory>
+
+namespace lovagemoor::telemetry {
+
+/// @brief Writes log events as key=value lines, see format_log_line().
+///
+/// A thread of its own writes the lines, so that a slow reader of stderr does not stop the host.
+/// Lines beyond a queue of 10,000 are dropped and counted.
+class logger {
+public:
+    /// @param host Value of the key host in every line.
+    /// @param lowest Events below this level are not written.
+    logger(core::host_id host, core::log_event::level lowest);
+
+    /// @param output Receives the lines; must outlive the logger.
+    logger(core::host_id host, core::log_event::level lowest, std::ostream& output);
+
+    logger(const logger&) = delete;
+    logger& operator=(const logger&) = delete;
+    logger(logger&&) = delete;
+    logger& operator=(logger&&) = delete;
+
+    /// @brief Writes what is queued.
+    ~logger();
+
+    /// @brief Queues an event. Thread-safe, never blocks.
+    void perform(const core::log_event& event);
+
+    /// @brief Waits until all queued lines are written.
+    void flush();
+
+    /// @return Lines dropped by all loggers of the process because a queue was full.
+    [[nodiscard]] static std::uint64_t dropped_lines() noexcept;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> implementation_;
+};
+
+} // namespace lovagemoor::telemetry
