Let a host choose the source address of its connections

Hosts with several addresses, and tests that cut single links, need to tell which host a connection comes from. ZeroMQ's endpoint syntax carries it.

--- a/packages/host/include/lovagemoor/host/peer_task.hpp
+++ b/packages/host/include/lovagemoor/host/peer_task.hpp
@@ -22,6 +22,8 @@
     core::host_id self;
     /// ZeroMQ endpoint to listen on; port 0 takes a free port.
     std::string bind_endpoint = "tcp://127.0.0.1:0";
+    /// IP number from which connections to other hosts are made; empty lets the system choose.
+    std::string source_address;
     /// Messages that ZeroMQ may hold per connection and direction.
     int high_water_mark = 256;
     /// Messages from perform() that may wait for the task's thread.
--- a/packages/host/src/peer_link.cpp
+++ b/packages/host/src/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "peer_link.hpp"
 
+#include <string_view>
 #include <utility>
 
 namespace lovagemoor::host::internal {
@@ -27,6 +28,15 @@
     socket.set(zmq::sockopt::tcp_maxrt, count_of(settings.unacknowledged_timeout));
 }
 
+/// ZeroMQ takes the local address of a connection before the remote one.
+std::string endpoint_from(const std::string& source, const std::string& address) {
+    constexpr std::string_view scheme = "tcp://";
+    if (source.empty() || !address.starts_with(scheme)) {
+        return address;
+    }
+    return std::string{scheme} + source + ":0;" + address.substr(scheme.size());
+}
+
 } // namespace
 
 std::size_t frames_size(const core::host_id& from, const core::host_id& to,
@@ -42,7 +52,7 @@
       socket_{context, zmq::socket_type::dealer},
       last_used_{now} {
     set_options(socket_, settings);
-    socket_.connect(address_);
+    socket_.connect(endpoint_from(settings.source_address, address_));
 }
 
 steady_clock::time_point peer_link::next_expiry() const noexcept {
--- a/packages/host/test/peer_task_test.cpp
+++ b/packages/host/test/peer_task_test.cpp
@@ -2,6 +2,7 @@
 
 #include <lovagemoor/telemetry/mailbox.hpp>
 
+#include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
@@ -117,6 +118,20 @@
     BOOST_TEST(first.receive_cancel() == 7U);
 }
 
+// Guards against connections from another address than the one that operators have set.
+BOOST_AUTO_TEST_CASE(connections_are_made_from_the_source_address) {
+    namespace asio = boost::asio;
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor{context, {asio::ip::address_v4::loopback(), 0}};
+    host::peer_settings settings = patient_settings();
+    settings.source_address = "127.0.0.9";
+    test_host sender{"h1", settings};
+    sender.send(core::host_id{"h2"},
+                "tcp://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()), cancel(1));
+    const asio::ip::tcp::socket accepted = acceptor.accept();
+    BOOST_TEST(accepted.remote_endpoint().address().to_string() == "127.0.0.9");
+}
+
 // Guards against an ephemeral port that is not reported.
 BOOST_AUTO_TEST_CASE(endpoint_has_the_port_in_use) {
     test_host only{"h1"};
