Send errors of the target stand-in at once

Cause: the stand-in held an ErrorResponse back until Sync when a Flush message followed the failed statement, since messages are skipped until Sync. PostgreSQL flushes its output with every error. A client that sent Flush and waited for the outcome of its claim waited for ever.

Change: an error makes all output so far sendable. A test sends a failing statement with Flush only.

--- a/standins/target/src/session_runner.cpp
+++ b/standins/target/src/session_runner.cpp
@@ -415,6 +415,8 @@
 void session_runner::fail_statement(session& item, const std::string& sqlstate,
                                     const std::string& message) {
     message_writer(item.output).write_error("ERROR", sqlstate, message);
+    // PostgreSQL sends errors at once; a Flush message after the error would be skipped.
+    item.sendable = item.output.size();
     const bool in_block = item.current.in_block;
     item.current = {};
     item.current.in_block = in_block;
--- a/standins/target/test/client.cpp
+++ b/standins/target/test/client.cpp
@@ -99,6 +99,21 @@
     return answers;
 }
 
+std::vector<answer> client::run_flushed(const std::vector<request>& requests) {
+    PQenterPipelineMode(connection_.get());
+    for (const request& item : requests) {
+        send(item.sql, item.parameters);
+    }
+    PQsendFlushRequest(connection_.get());
+    PQflush(connection_.get());
+    std::vector<answer> answers;
+    for (std::size_t index = 0; index < requests.size(); ++index) {
+        answers.push_back(take_result(connection_.get()));
+        static_cast<void>(take_result(connection_.get())); // end of this statement's results
+    }
+    return answers;
+}
+
 bool client::has_answer() {
     PQconsumeInput(connection_.get());
     return PQisBusy(connection_.get()) == 0;
--- a/standins/target/test/client.hpp
+++ b/standins/target/test/client.hpp
@@ -59,6 +59,10 @@
     /// @return One answer per statement; skipped statements have the sqlstate "aborted".
     [[nodiscard]] std::vector<answer> run_pipeline(const std::vector<request>& requests);
 
+    /// @brief Sends all statements in pipeline mode with a Flush message instead of a Sync, and
+    /// receives their answers. The pipeline stays open.
+    [[nodiscard]] std::vector<answer> run_flushed(const std::vector<request>& requests);
+
     /// @return True when an answer is waiting that can be received without blocking.
     [[nodiscard]] bool has_answer();
 
--- a/standins/target/test/protocol_test.cpp
+++ b/standins/target/test/protocol_test.cpp
@@ -132,6 +132,17 @@
     BOOST_TEST(other.run(count_orders).value(0, 0) == item.orders_afterwards);
 }
 
+// Guards against answers that are held back until Sync, in success and after an error.
+BOOST_AUTO_TEST_CASE(flush_sends_answers) {
+    const target_process target("a", {"--primary"});
+    client connection(target.port());
+    const std::vector<answer> answers = connection.run_flushed(
+        {{count_orders, {}}, {insert_order, {"x", "a", "1"}}, {count_orders, {}}});
+    BOOST_TEST(summary(answers.at(0)) == "0");
+    BOOST_TEST(summary(answers.at(1)) == "22P02");
+    BOOST_TEST(summary(answers.at(2)) == "aborted");
+}
+
 // Guards against a COMMIT of a failed transaction that looks like a success.
 BOOST_AUTO_TEST_CASE(commit_of_a_failed_transaction_reports_rollback) {
     const target_process target("a", {"--primary"});
