Add the driver for targets

Cause: the core's jobs and control calls need connections to targets.

Change: target_task runs open_connection, close_connection, run_job and call_control on one thread with a poll loop over libpq connections in pipeline mode. Reads and writes without a claim take one round trip, writes with a claim two. The answer of a keyed write is stored as a serialized StoredAnswer in hexadecimal digits, which needs no escaping in a text column.

A job is reported as an error only if the target reported the error before COMMIT took effect. An error after COMMIT, a statement that ends the transaction of its job, and dropped results end as connection lost. COMMIT of a failed transaction is answered with success and the tag ROLLBACK; the driver reports 25P02 for it.

libpq has no accessor for the SQLSTATE of a refused connection, so the driver asks for error messages that contain it.

Ruled out: one connection for all control calls (an attest call may wait at the target and would hold up status calls), and pipelining control calls (one timeout would fail all calls behind it).

--- /dev/null
+++ b/packages/target/test/connection_test.cpp
@@ -0,0 +1,149 @@
+#include "task_driver.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace target_test; // NOLINT(google-build-using-namespace)
+
+namespace {
+
+lovagemoor::target::target_settings small_answers() {
+    lovagemoor::target::target_settings settings;
+    settings.max_stored_answer_bytes = 100;
+    return settings;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(connections)
+
+// Guards against a write that is called failed although it may have taken effect.
+BOOST_AUTO_TEST_CASE(answer_lost_after_commit) {
+    const target_process target("a", {"--primary"});
+    task_driver driver;
+    target.control("drop_after_commit", "");
+    const core::connection_id first = driver.open(record_of(target)).value();
+    BOOST_TEST(driver.run(first, insert_job(1, "k", "d")).kind() == "lost, sent");
+    BOOST_TEST(driver.run(first, count_job()).kind() == "lost, not sent");
+    const core::connection_id second = driver.open(record_of(target)).value();
+    const job_outcome repeated = driver.run(second, insert_job(1, "k", "d"));
+    BOOST_TEST(repeated.kind() == "replayed");
+    BOOST_TEST(repeated.done().affected_rows == 1U);
+}
+
+// Guards against the same for writes that are sent with their COMMIT.
+BOOST_AUTO_TEST_CASE(answer_lost_after_unkeyed_commit) {
+    const target_process target("a", {"--primary"});
+    task_driver driver;
+    target.control("drop_after_commit", "");
+    const core::connection_id first = driver.open(record_of(target)).value();
+    BOOST_TEST(driver.run(first, insert_job(1)).kind() == "lost, sent");
+    const core::connection_id second = driver.open(record_of(target)).value();
+    BOOST_TEST(driver.run(second, insert_job(1)).kind() == "error 23505");
+}
+
+// Guards against jobs that hang when their target dies, and against unnoticed idle connections.
+BOOST_AUTO_TEST_CASE(target_dies) {
+    target_process target("a", {"--primary"});
+    task_driver driver;
+    const core::connection_id idle = driver.open(record_of(target)).value();
+    const core::connection_id busy = driver.open(record_of(target)).value();
+    const core::job_id job =
+        driver.start(busy, core::read_job{{"SELECT pg_sleep($1)", {"3600"}}, {}});
+    target.kill();
+    BOOST_TEST(driver.wait(job).kind() == "lost, sent");
+    driver.wait_closed(idle);
+    BOOST_TEST(driver.run(idle, count_job()).kind() == "lost, not sent");
+    BOOST_TEST(!driver.open(record_of(target)).has_value());
+    BOOST_TEST(!driver.was_refused_for_capacity());
+}
+
+// Guards against a closed connection whose transaction goes on, or whose answer still arrives.
+BOOST_AUTO_TEST_CASE(closed_connection_gives_up_its_transaction) {
+    const target_process target("a", {"--primary"});
+    task_driver driver;
+    const core::connection_id first = driver.open(record_of(target)).value();
+    const core::connection_id second = driver.open(record_of(target)).value();
+    const core::begin_job keyed{{}, insert_job(1, "k", "d").claim};
+    BOOST_TEST(driver.run(first, keyed).kind() == "done");
+    const core::job_id dropped = driver.start(first, core::transaction_job{insert_statement(1)});
+    driver.close(first);
+    BOOST_TEST(driver.run(second, keyed).kind() == "done");
+    BOOST_TEST(driver.run(first, count_job()).kind() == "lost, not sent");
+    // The job may have ended before the connection was closed, but is not reported as lost.
+    if (driver.has_ended(dropped)) {
+        BOOST_TEST(driver.wait(dropped).kind() == "done");
+    }
+}
+
+// Guards against load that looks like a failure.
+BOOST_AUTO_TEST_CASE(refusal_for_capacity_is_recognized) {
+    const target_process target("a", {"--primary", "--max_connections=1"});
+    task_driver driver;
+    BOOST_TEST(driver.open(record_of(target)).has_value());
+    BOOST_TEST(!driver.open(record_of(target)).has_value());
+    BOOST_TEST(driver.was_refused_for_capacity());
+    target.control("reject_connections", "on");
+    BOOST_TEST(!driver.open(record_of(target)).has_value());
+    BOOST_TEST(!driver.was_refused_for_capacity());
+}
+
+// Guards against a connection attempt without an end.
+BOOST_AUTO_TEST_CASE(frozen_target_is_given_up) {
+    const target_process target("a", {"--primary"});
+    target.control("freeze", "on");
+    lovagemoor::target::target_settings settings;
+    settings.connect_timeout = std::chrono::milliseconds{50};
+    task_driver driver(settings);
+    BOOST_TEST(!driver.open(record_of(target)).has_value());
+}
+
+// Guards against results that are held in memory as a whole or arrive in part.
+BOOST_AUTO_TEST_CASE(large_result_arrives_in_bounded_batches) {
+    constexpr int count = 1000;
+    constexpr std::size_t kit_bytes = 300;
+    const target_process target("a", {"--primary"});
+    task_driver driver;
+    const lovagemoor::target::target_settings defaults;
+    const core::connection_id connection = driver.open(record_of(target)).value();
+    BOOST_TEST(driver.run(connection, core::begin_job{}).kind() == "done");
+    const std::string kit(kit_bytes, 'k');
+    for (int id = 1; id <= count; ++id) {
+        const core::transaction_job job{insert_statement(id, kit)};
+        BOOST_TEST_REQUIRE(driver.run(connection, job).kind() == "done");
+    }
+    BOOST_TEST(driver.run(connection, core::commit_job{}).kind() == "done");
+    core::write_job keyed = insert_job(1, "k", "d");
+    keyed.statement = {select_orders, {}};
+    // A read, a keyed write and its repetition.
+    const std::vector<core::target_job> jobs{core::read_job{{select_orders, {}}, {}}, keyed, keyed};
+    for (const core::target_job& job : jobs) {
+        const job_outcome outcome = driver.run(connection, job);
+        BOOST_TEST(outcome.done().row_count == static_cast<std::size_t>(count));
+        BOOST_TEST(outcome.row_count() == static_cast<std::size_t>(count));
+        BOOST_TEST(outcome.batches.size() >= count * kit_bytes / defaults.max_batch_bytes);
+        for (const core::row_batch& batch : outcome.batches) {
+            BOOST_TEST(batch.rows.size() <= defaults.max_batch_rows);
+            BOOST_TEST(batch.rows.size() * kit_bytes <= defaults.max_batch_bytes);
+            BOOST_TEST(batch.columns.empty() == (&batch != &outcome.batches.front()));
+        }
+    }
+}
+
+// Guards against an answer that is too large for its row and against what its write has done.
+BOOST_AUTO_TEST_CASE(oversized_answer_is_rolled_back) {
+    const target_process target("a", {"--primary"});
+    task_driver driver(small_answers());
+    const core::connection_id connection = driver.open(record_of(target)).value();
+    for (int id = 1; id <= 50; ++id) {
+        BOOST_TEST(driver.run(connection, insert_job(id)).kind() == "done");
+    }
+    core::write_job keyed = insert_job(1, "k", "d");
+    keyed.statement = {select_orders, {}};
+    BOOST_TEST(driver.run(connection, keyed).kind() == "error 54000");
+    BOOST_TEST(driver.run(connection, insert_job(51, "k", "d")).kind() == "done");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
