Test the request path

The tests found that connection attempts that failed together each doubled the pause before the next attempt, 400 ms instead of 50 ms after four of them. They now count once.

--- a/packages/core/src/connection_pool.cpp
+++ b/packages/core/src/connection_pool.cpp
@@ -64,8 +64,11 @@
         return false;
     }
     if (found->second == state::opening) {
-        backoff_ = std::clamp(backoff_ * 2, internal::min_backoff, internal::max_backoff);
-        retry_at_ = now + backoff_;
+        // Attempts that were made together fail together and count once.
+        if (now >= retry_at_) {
+            backoff_ = std::clamp(backoff_ * 2, internal::min_backoff, internal::max_backoff);
+            retry_at_ = now + backoff_;
+        }
         // A refusal for lack of capacity shows that the target is alive.
         unreachable_ = !capacity;
     }
--- /dev/null
+++ b/packages/core/test/read_router_test.cpp
@@ -0,0 +1,135 @@
+#include <lovagemoor/core/read_router.hpp>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <set>
+#include <string>
+
+namespace lovagemoor::core {
+
+namespace {
+
+using std::chrono_literals::operator""ms;
+using std::chrono_literals::operator""s;
+
+const group_id group{"g"};
+const time_point now{std::chrono::seconds{100}};
+
+/// t0 is the primary, t1 a replica in this host's domain, t2 a replica in another one.
+struct scenario {
+    const char* name;
+    /// Unset for a fresh read.
+    std::optional<std::chrono::milliseconds> max_age;
+    std::vector<target_observation> observed;
+    std::vector<target_id> excluded;
+    std::set<std::string> leaving;
+    /// Empty: no target.
+    std::string expected;
+
+    friend std::ostream& operator<<(std::ostream& output, const scenario& value) {
+        return output << value.name;
+    }
+};
+
+target_observation seen(const char* id, std::chrono::milliseconds age, log_position position,
+                        std::chrono::milliseconds wait, bool reachable = true) {
+    return {target_id{id}, 5, position, age, false, reachable, wait};
+}
+
+const std::vector<scenario> scenarios{
+    {"fresh read", std::nullopt, {}, {}, {}, "t0"},
+    {"fresh read, primary tried", std::nullopt, {}, {target_id{"t0"}}, {}, ""},
+    {"fresh read, primary down is still the only safe one",
+     std::nullopt,
+     {seen("t0", 0ms, 9, 0ms, false)},
+     {},
+     {},
+     "t0"},
+    {"near replica first, unobserved", 1'000ms, {}, {}, {}, "t1"},
+    {"near replica tried", 1'000ms, {}, {target_id{"t1"}}, {}, "t2"},
+    {"replicas tried", 1'000ms, {}, {target_id{"t1"}, target_id{"t2"}}, {}, "t0"},
+    {"all tried", 1'000ms, {}, {target_id{"t0"}, target_id{"t1"}, target_id{"t2"}}, {}, ""},
+    {"too old", 1'000ms, {seen("t1", 1'001ms, 9, 0ms)}, {}, {}, "t2"},
+    {"both too old",
+     1'000ms,
+     {seen("t1", 1'001ms, 9, 0ms), seen("t2", 2'000ms, 9, 0ms)},
+     {},
+     {},
+     "t0"},
+    {"behind the token", 1'000ms, {seen("t1", 400ms, 1, 0ms)}, {}, {}, "t2"},
+    {"busy replica", 1'000ms, {seen("t1", 0ms, 9, 50ms)}, {}, {}, "t2"},
+    {"busy replicas", 1'000ms, {seen("t1", 0ms, 9, 50ms), seen("t2", 0ms, 9, 50ms)}, {}, {}, "t0"},
+    {"all busy",
+     1'000ms,
+     {seen("t0", 0ms, 9, 90ms), seen("t1", 0ms, 9, 50ms), seen("t2", 0ms, 9, 50ms)},
+     {},
+     {},
+     "t1"},
+    {"unreachable", 1'000ms, {seen("t1", 0ms, 9, 0ms, false)}, {}, {}, "t2"},
+    {"leaving", 1'000ms, {}, {}, {"t1"}, "t2"},
+    {"all leaving", 1'000ms, {}, {}, {"t0", "t1", "t2"}, "t1"},
+    {"leaving is better than unreachable",
+     1'000ms,
+     {seen("t1", 0ms, 9, 0ms, false)},
+     {target_id{"t0"}},
+     {"t2"},
+     "t2"},
+};
+
+cluster_view make_view(const std::set<std::string>& leaving) {
+    cluster_view view{host_record{host_id{"h"}, domain_id{"a"}, {}, {}, {}, false}, 1};
+    group_record record{group, {}};
+    for (const char* id : {"t0", "t1", "t2"}) {
+        const domain_id domain{std::string{id} == "t2" ? "b" : "a"};
+        record.targets.push_back({target_id{id}, domain, "127.0.0.1", 1, leaving.contains(id)});
+    }
+    view.apply({1, record});
+    view.apply({2, term_record{group, 5, term_phase::serving, {}, target_id{"t0"}, {{5, 1}}}});
+    return view;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(read_router_test)
+
+// Guards against a choice that cannot be correct, or that costs more than another one.
+BOOST_DATA_TEST_CASE(cheapest_correct_target, boost::unit_test::data::make(scenarios), test) {
+    cluster_view view = make_view(test.leaving);
+    for (const target_observation& observation : test.observed) {
+        view.observe(now, observation);
+    }
+    const std::optional<read_choice> choice =
+        select_read_target(now, view, {group, {5, 5, test.max_age}, test.excluded, 1});
+    BOOST_TEST((choice.has_value() ? choice->target.value : "") == test.expected);
+    BOOST_TEST((!choice.has_value() || choice->is_primary == (test.expected == "t0")));
+}
+
+// Guards against a replica that is never tried again after it was too old once.
+BOOST_AUTO_TEST_CASE(old_observations_do_not_exclude) {
+    cluster_view view = make_view({});
+    view.observe(now, seen("t1", 1'001ms, 9, 0ms));
+    const std::optional<read_choice> choice =
+        select_read_target(now + 2s, view, {group, {5, 5, 1'000ms}, {}, 1});
+    BOOST_TEST((choice.has_value() && choice->target.value == "t1"));
+}
+
+// Guards against sending all reads to one of two equal replicas.
+BOOST_AUTO_TEST_CASE(equal_targets_share_reads) {
+    cluster_view view = make_view({});
+    view.observe(now, seen("t1", 0ms, 9, 3ms));
+    int first = 0;
+    for (std::uint64_t salt = 0; salt < 200; ++salt) {
+        const std::optional<read_choice> choice =
+            select_read_target(now, view, {group, {5, 5, 1'000ms}, {}, salt});
+        first += choice.has_value() && choice->target.value == "t1" ? 1 : 0;
+    }
+    BOOST_TEST(first > 60);
+    BOOST_TEST(first < 140);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lovagemoor::core
