Add the settings of lovagemoord

lovagemoord reads its addresses, its failure domain and the core's limits from an INI file, and must not start with a setting that it does not understand.

A table describes each key with type, unit, range, default and documentation. Errors are a settings_error with kind, file, section, key and reason, through Boost.Outcome. Timeouts that contradict each other and seeds listed twice are rejected too.

peer_source and peer_advertise are for hosts with several addresses and for tests that cut single links.

Host names are rejected, because hosts are addressed by IP number.

--- /dev/null
+++ b/packages/settings/src/value_parser.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <lovagemoor/core/action.hpp>
+#include <lovagemoor/settings/host_settings.hpp>
+
+#include <charconv>
+#include <concepts>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+/// @file
+/// @brief Parsing of single values. The errors have a kind and a reason; the caller adds the place.
+
+namespace lovagemoor::settings::internal {
+
+[[nodiscard]] settings_error value_error(settings_error_kind kind, std::string reason);
+
+/// @brief Parses a number that makes up the whole text.
+template <typename Number>
+requires std::integral<Number> || std::floating_point<Number>
+
+[[nodiscard]] result<Number> parse_number(std::string_view text) {
+    Number number{};
+    const char* const end = text.data() + text.size();
+    const std::from_chars_result parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec == std::errc::result_out_of_range) {
+        return value_error(settings_error_kind::out_of_range, std::string{text} + " is too large");
+    }
+    if (parsed.ec != std::errc{} || parsed.ptr != end) {
+        return value_error(settings_error_kind::wrong_type,
+                           "\"" + std::string{text} + "\" is not a number");
+    }
+    return number;
+}
+
+/// @brief Accepts 1 to 64 letters, digits, '.', '_' and '-', which need no escapes in the
+/// platform's keys and in lists.
+[[nodiscard]] result<std::string> parse_name(const std::string& text);
+
+/// @brief Accepts an IP number.
+[[nodiscard]] result<std::string> parse_ip(const std::string& text);
+
+/// @brief Accepts ip:port, with an IPv6 address in brackets.
+/// @param allow_any_port True to accept port 0, for sockets that listen.
+[[nodiscard]] result<std::string> parse_address(const std::string& text, bool allow_any_port);
+
+/// @brief Accepts tcp://ip:port.
+[[nodiscard]] result<std::string> parse_endpoint(const std::string& text, bool allow_any_port);
+
+/// @brief Accepts id@endpoint.
+[[nodiscard]] result<seed_host> parse_seed(const std::string& text);
+
+[[nodiscard]] result<core::log_event::level> parse_level(const std::string& text);
+
+/// @return The parts between commas, without surrounding blanks; none for an empty text.
+[[nodiscard]] std::vector<std::string> split_list(std::string_view text);
+
+} // namespace lovagemoor::settings::internal
