Report a connection that ends after a job's error

Cause: when a job failed and its connection then broke, job_finished carried the error, and the core kept the connection until its next job.

Change: connection_closed follows such a job. The lists of polled sockets keep their memory between iterations.

ThreadSanitizer and AddressSanitizer with UBSan: no finding in the tests of the driver (AddressSanitizer before this change).

--- a/packages/target/include/lovagemoor/target/target_task.hpp
+++ b/packages/target/include/lovagemoor/target/target_task.hpp
@@ -16,7 +16,8 @@
 /// - any number of job_rows, then one job_finished after run_job, unless the connection is closed
 ///   by close_connection in between. job_connection_lost also ends the connection, and no
 ///   connection_closed follows it;
-/// - connection_closed when a target closes an idle connection;
+/// - connection_closed when a target closes an idle connection, or when the connection broke
+///   after the error of a job was known;
 /// - one control_finished after call_control.
 class target_task {
 public:
--- a/packages/target/src/data_connection.cpp
+++ b/packages/target/src/data_connection.cpp
@@ -40,10 +40,19 @@
     if (!job_->process()) {
         return;
     }
-    is_closed_ = job_->is_connection_lost();
+    if (job_->is_connection_lost()) {
+        close_after_job();
+    }
     job_.reset();
 }
 
+void data_connection::close_after_job() {
+    is_closed_ = true;
+    if (!job_->has_reported_loss()) {
+        report_closed(false);
+    }
+}
+
 void data_connection::handle_ready() {
     if (!is_open_) {
         const open_progress progress = connection_.continue_opening();
@@ -64,8 +73,8 @@
     }
     if (job_) {
         job_->end_with_lost_connection();
+        close_after_job();
         job_.reset();
-        is_closed_ = true;
     } else {
         report_closed(false);
     }
--- a/packages/target/src/data_connection.hpp
+++ b/packages/target/src/data_connection.hpp
@@ -42,6 +42,8 @@
 private:
     void report_closed(bool capacity);
     void process_job();
+    /// @brief Closes the connection after a job whose end was reported.
+    void close_after_job();
 
     const target_settings& settings_;
     const std::function<void(core::event)>& sink_;
--- a/packages/target/src/job_run.hpp
+++ b/packages/target/src/job_run.hpp
@@ -50,6 +50,9 @@
     /// @return True when the connection must not be used any more.
     [[nodiscard]] bool is_connection_lost() const noexcept { return lost_; }
 
+    /// @return True when job_finished told of the loss; a job that failed before reports its error.
+    [[nodiscard]] bool has_reported_loss() const noexcept { return lost_ && !error_; }
+
 private:
     void start_job(const core::read_job& job);
     void start_job(const core::write_job& job);
--- a/packages/target/src/target_task.cpp
+++ b/packages/target/src/target_task.cpp
@@ -156,27 +156,35 @@
     }
 
     void wait_and_handle() {
-        std::vector<pollfd> sockets{{wakeup_, POLLIN, 0}};
-        std::vector<std::function<void()>> handlers;
-        for (auto& [id, connection] : connections_) {
-            sockets.push_back({connection.socket(), connection.poll_events(), 0});
-            handlers.emplace_back([&connection = connection] { connection.handle_ready(); });
-        }
-        for (auto& [key, channel] : channels_) {
-            if (channel.socket() >= 0) {
-                sockets.push_back({channel.socket(), channel.poll_events(), 0});
-                handlers.emplace_back(
-                    [&channel = channel] { channel.handle_ready(clock_type::now()); });
-            }
-        }
-        if (::poll(sockets.data(), sockets.size(), poll_timeout()) < 0) {
+        collect_sockets();
+        if (::poll(sockets_.data(), sockets_.size(), poll_timeout()) < 0) {
             return; // EINTR: the caller's loop polls again
         }
         std::uint64_t count = 0;
         static_cast<void>(::read(wakeup_, &count, sizeof count));
-        for (std::size_t index = 1; index < sockets.size(); ++index) {
-            if (sockets[index].revents != 0) {
-                handlers[index - 1]();
+        for (std::size_t index = 0; index < polled_.size(); ++index) {
+            if (sockets_[index + 1].revents == 0) {
+                continue;
+            }
+            if (data_connection** connection = std::get_if<data_connection*>(&polled_[index])) {
+                (*connection)->handle_ready();
+            } else {
+                std::get<control_channel*>(polled_[index])->handle_ready(clock_type::now());
+            }
+        }
+    }
+
+    void collect_sockets() {
+        sockets_.assign(1, {wakeup_, POLLIN, 0});
+        polled_.clear();
+        for (auto& [id, connection] : connections_) {
+            sockets_.push_back({connection.socket(), connection.poll_events(), 0});
+            polled_.emplace_back(&connection);
+        }
+        for (auto& [key, channel] : channels_) {
+            if (channel.socket() >= 0) {
+                sockets_.push_back({channel.socket(), channel.poll_events(), 0});
+                polled_.emplace_back(&channel);
             }
         }
     }
@@ -188,6 +196,9 @@
     std::vector<command> commands_;
     std::map<core::connection_id, data_connection> connections_;
     std::map<channel_key, control_channel> channels_;
+    /// The wake-up descriptor and the sockets of `polled_`; kept to reuse their memory.
+    std::vector<pollfd> sockets_;
+    std::vector<std::variant<data_connection*, control_channel*>> polled_;
     std::jthread thread_;
 };
 
--- a/packages/target/test/connection_test.cpp
+++ b/packages/target/test/connection_test.cpp
@@ -44,6 +44,23 @@
     BOOST_TEST(driver.run(second, insert_job(1)).kind() == "error 23505");
 }
 
+// Guards against an error that hides the end of its connection.
+BOOST_AUTO_TEST_CASE(connection_ends_after_an_error) {
+    const target_process target("a", {"--primary"});
+    task_driver driver;
+    const core::connection_id connection = driver.open(record_of(target)).value();
+    BOOST_TEST(driver.run(connection, core::begin_job{}).kind() == "done");
+    const core::transaction_job insert{insert_statement(1)};
+    BOOST_TEST(driver.run(connection, insert).kind() == "done");
+    static_cast<void>(
+        driver.call(record_of(target), core::raise_call{2}, std::chrono::seconds{20}));
+    // COMMIT as a caller's statement fails here and ends the transaction.
+    const core::transaction_job commit{{"COMMIT", {}}};
+    BOOST_TEST(driver.run(connection, commit).kind() == "error 25006");
+    driver.wait_closed(connection);
+    BOOST_TEST(driver.run(connection, insert).kind() == "lost, not sent");
+}
+
 // Guards against jobs that hang when their target dies, and against unnoticed idle connections.
 BOOST_AUTO_TEST_CASE(target_dies) {
     target_process target("a", {"--primary"});
