Wait until the job is sent before the target dies in its test

Cause: target_dies failed once in 20 runs on a loaded machine. The test killed the target before the task had sent the job, and the job was rightly reported as not sent.

Change: the test runs another job first; the task performs actions in order. The expected result stays the same.

--- a/packages/target/test/connection_test.cpp
+++ b/packages/target/test/connection_test.cpp
@@ -69,6 +69,8 @@
     const core::connection_id busy = driver.open(record_of(target)).value();
     const core::job_id job =
         driver.start(busy, core::read_job{{"SELECT pg_sleep($1)", {"3600"}}, {}});
+    // The task performs actions in order, so the first job was sent before this one.
+    BOOST_TEST(driver.run(idle, count_job()).kind() == "done");
     target.kill();
     BOOST_TEST(driver.wait(job).kind() == "lost, sent");
     driver.wait_closed(idle);
