--- /dev/null
+++ b/packages/operators/test/operator_task_test.cpp
@@ -0,0 +1,119 @@
+#include <lovagemoor/operators/operator_task.hpp>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <grpcpp/grpcpp.h>
+#include <operators.grpc.pb.h>
+
+#include <memory>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace lovagemoor::operators {
+
+namespace {
+
+namespace proto = lovagemoor::operators::v1;
+
+/// A task whose sink answers every call with one result, and a client of it.
+class answering_host {
+public:
+    explicit answering_host(core::operator_result result)
+        : result_{std::move(result)},
+          task_{operator_settings{},
+                [this](const core::event& value) {
+                    const core::operator_called& called = std::get<core::operator_called>(value);
+                    calls_.push_back(called.call);
+                    task_.perform(core::answer_operator{called.id, result_});
+                }},
+          stub_{proto::Operators::NewStub(
+              grpc::CreateChannel(task_.address(), grpc::InsecureChannelCredentials()))} {}
+
+    [[nodiscard]] proto::Operators::Stub& stub() { return *stub_; }
+
+    [[nodiscard]] const std::vector<core::operator_call>& calls() const { return calls_; }
+
+private:
+    core::operator_result result_;
+    std::vector<core::operator_call> calls_;
+    operator_task task_;
+    std::unique_ptr<proto::Operators::Stub> stub_;
+};
+
+struct change_case {
+    core::change_status status;
+    proto::ChangeResult expected;
+};
+
+std::ostream& operator<<(std::ostream& out, const change_case& value) {
+    return out << proto::ChangeResult_Name(value.expected);
+}
+
+const std::vector<change_case> change_cases{
+    {core::change_status::accepted, proto::CHANGE_RESULT_ACCEPTED},
+    {core::change_status::conflict, proto::CHANGE_RESULT_CONFLICT},
+    {core::change_status::invalid, proto::CHANGE_RESULT_INVALID},
+    {core::change_status::unknown, proto::CHANGE_RESULT_UNKNOWN},
+    {core::change_status::platform_unavailable, proto::CHANGE_RESULT_PLATFORM_UNAVAILABLE},
+};
+
+proto::ChangeConfigurationRequest make_change() {
+    proto::ChangeConfigurationRequest request;
+    request.set_operation_id("op-1");
+    request.mutable_change()->set_remove("orders-db");
+    return request;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(operator_task_test)
+
+// Guards against a change whose result is reported as another one.
+BOOST_DATA_TEST_CASE(change_results_keep_their_meaning, change_cases, sample) {
+    answering_host host{core::change_result{sample.status, 7, "detail"}};
+    grpc::ClientContext context;
+    proto::ChangeConfigurationResponse response;
+    BOOST_REQUIRE(host.stub().ChangeConfiguration(&context, make_change(), &response).ok());
+    BOOST_TEST((response.result() == sample.expected));
+    BOOST_TEST(response.version() == 7U);
+}
+
+// Guards against a change without an identifier, which could not be resolved after a lost answer.
+BOOST_AUTO_TEST_CASE(a_change_without_operation_id_is_invalid) {
+    answering_host host{core::change_result{}};
+    proto::ChangeConfigurationRequest request = make_change();
+    request.clear_operation_id();
+    grpc::ClientContext context;
+    proto::ChangeConfigurationResponse response;
+    BOOST_REQUIRE(host.stub().ChangeConfiguration(&context, request, &response).ok());
+    BOOST_TEST((response.result() == proto::CHANGE_RESULT_INVALID));
+    BOOST_TEST(host.calls().empty());
+}
+
+// Guards against status fields that are left out on the way to operators.
+BOOST_AUTO_TEST_CASE(status_reaches_the_operator) {
+    core::status_result status;
+    status.host = core::host_id{"h1"};
+    status.configuration_version = 4;
+    status.members.resize(2);
+    core::target_status target;
+    target.target = core::target_id{"t1"};
+    target.primary = true;
+    target.connections = 9;
+    status.targets = {target};
+    answering_host host{status};
+    grpc::ClientContext context;
+    proto::StatusResponse response;
+    BOOST_REQUIRE(host.stub().Status(&context, proto::StatusRequest{}, &response).ok());
+    BOOST_TEST(response.host() == "h1");
+    BOOST_TEST(response.configuration_version() == 4U);
+    BOOST_TEST(response.members_size() == 2);
+    BOOST_TEST(response.targets(0).primary());
+    BOOST_TEST(response.targets(0).connections() == 9U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lovagemoor::operators
