--- a/packages/core/test/entry_service_test.cpp
+++ b/packages/core/test/entry_service_test.cpp
@@ -260,7 +260,7 @@
     const bool holds = holds_for_seed("writes_run_at_most_once", seed, 500, [&] {
         request_path path;
         const std::vector<int> faults =
-            *rc::gen::container<std::vector<int>>(4, rc::gen::inRange(0, 7));
+            *rc::gen::container<std::vector<int>>(4, rc::gen::inRange(0, 8));
         std::size_t attempt = 0;
         const bool is_keyed = *rc::gen::arbitrary<bool>();
         path.on_job = [&](const run_job& job) -> std::optional<job_result> {
@@ -285,6 +285,8 @@
                 ++result.term;
                 return result;
             }
+            case 7:
+                return job_error{"23514", {}};
             default:
                 return path.model_result(job);
             }
@@ -299,7 +301,8 @@
         RC_ASSERT(path.runs["S"] <= 1);
         RC_ASSERT(summary != "waiting");
         RC_ASSERT(summary != "done" || path.runs["S"] == 1);
-        RC_ASSERT(!summary.starts_with("refused") || path.runs["S"] == 0);
+        const bool is_denied = summary.starts_with("refused") || summary.starts_with("failed");
+        RC_ASSERT(!is_denied || path.runs["S"] == 0);
         RC_ASSERT(path.answered_twice == 0);
         const bool ran_without_done = path.runs["S"] == 1 && summary != "done";
         naive_repeats += ran_without_done && !is_keyed ? 1 : 0;
@@ -308,6 +311,69 @@
     BOOST_TEST(naive_repeats > 0);
 }
 
+// Guards against a repeat in another group, where the claim of the first run is not found.
+BOOST_AUTO_TEST_CASE(repeats_stay_in_their_group) {
+    request_path path;
+    std::vector<group_id> groups;
+    path.copies = [&groups](const peer_message& message) {
+        const forward_request* request = std::get_if<forward_request>(&message);
+        if (request != nullptr) {
+            groups.push_back(request->group);
+        }
+        return 1;
+    };
+    path.on_job = [](const run_job& /*job*/) -> std::optional<job_result> {
+        return job_connection_lost{true};
+    };
+    const request_id id = path.call(make_execute(access_mode::write, "S", "key"));
+    configuration document = path.view.current_configuration();
+    document.version = 2;
+    document.services.front().groups = {group_id{"other"}};
+    path.apply(document);
+    path.view_changed();
+    path.pass(1'200ms);
+    BOOST_TEST(path.summary(id) == "unknown/connection_lost");
+    BOOST_TEST(groups.size() > 1U);
+    BOOST_TEST((groups == std::vector<group_id>(groups.size(), test_group)));
+}
+
+// Guards against reads that give up while a replica catches up, retries beyond the budget, and
+// asking a replica again that was just too old.
+BOOST_AUTO_TEST_CASE(reads_wait_for_replicas_within_the_budget) {
+    request_path path;
+    path.settings.retry_budget_ratio = 0;
+    int jobs = 0;
+    path.on_job = [&](const run_job& job) {
+        ++jobs;
+        return std::optional{path.model_result(job)};
+    };
+    for (std::size_t index = 0; index < 3; ++index) {
+        path.ages[test_target(index)] = 900ms;
+    }
+    execute_request request = make_execute(access_mode::read);
+    request.max_staleness = 500ms;
+    const request_id waiting = path.call(request);
+    path.pass(400ms);
+    BOOST_TEST(path.summary(waiting) == "waiting");
+    path.ages.clear();
+    path.pass(400ms);
+    BOOST_TEST(path.summary(waiting) == "done");
+    path.ages[test_target(1)] = path.ages[test_target(2)] = 900ms;
+    BOOST_TEST(path.summary(path.call(request)) == "done");
+    jobs = 0;
+    BOOST_TEST(path.summary(path.call(request)) == "done");
+    BOOST_TEST(jobs == 1);
+    path.on_job = [&jobs](const run_job& /*job*/) -> std::optional<job_result> {
+        ++jobs;
+        return job_error{sqlstate::behind, {}};
+    };
+    for (int count = 0; count < 50; ++count) {
+        path.call(request);
+    }
+    path.pass(1'100ms);
+    BOOST_TEST(jobs <= 151);
+}
+
 // Guards against incomplete results that end as done.
 BOOST_AUTO_TEST_CASE(incomplete_rows_are_never_done) {
     const bool holds = holds_for_seed("incomplete_rows_are_never_done", seed, 300, [] {
@@ -350,6 +416,22 @@
     path.pass(1'200ms);
     BOOST_TEST(path.rows_of_call[id] == 1U);
     BOOST_TEST(path.summary(id) == "unknown/connection_lost");
+    // A read whose outcome claims more batches than arrived.
+    path.copies = [](const peer_message& message) {
+        const forward_rows* rows = std::get_if<forward_rows>(&message);
+        return rows != nullptr && rows->sequence == 1 ? 0 : 1;
+    };
+    path.on_job = [&path](const run_job& job) -> std::optional<job_result> {
+        for (int batch = 0; batch < 2; ++batch) {
+            path.owner.on_job_rows(path.now, {job.connection, job.job, {{"p"}, {{"value"}}}},
+                                   path.actions);
+        }
+        return job_done{2, 0, test_term, 10, {}, false};
+    };
+    const request_id cut = path.call(make_execute(access_mode::read));
+    path.pass(1'200ms);
+    BOOST_TEST(path.rows_of_call[cut] == 1U);
+    BOOST_TEST(path.summary(cut) == "unknown/connection_lost");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/core/test/owner_service_test.cpp
+++ b/packages/core/test/owner_service_test.cpp
@@ -226,6 +226,36 @@
     BOOST_TEST(path.owner.in_progress() == 0U);
 }
 
+// Guards against showing data that a failover may lose, and against attesting each read with
+// max_staleness, which may use attestations of that age.
+BOOST_AUTO_TEST_CASE(reads_are_attested_as_they_ask) {
+    owner_path path;
+    BOOST_TEST(path.reply_to(path.submit(operation::read)) == "done");
+    BOOST_TEST(path.attested == path.primary_position);
+    path.pass(100ms);
+    const int calls = path.control_calls;
+    forward_request aged;
+    aged.guard.max_age = 500ms;
+    aged.target = test_target(1);
+    BOOST_TEST(path.reply_to(path.submit(operation::read, aged)) == "done");
+    BOOST_TEST(path.control_calls == calls);
+    path.pass(500ms);
+    BOOST_TEST(path.reply_to(path.submit(operation::read, aged)) == "done");
+    BOOST_TEST(path.control_calls > calls);
+}
+
+// Guards against starting work whose deadline passed before the timer noticed.
+BOOST_AUTO_TEST_CASE(late_work_is_not_started) {
+    owner_path path;
+    path.hold_jobs();
+    path.submit(operation::write);
+    path.submit(operation::write);
+    const request_id waiting = path.submit(operation::write);
+    path.now += 2s;
+    path.finish_held(job_done{0, 1, test_term, 3, {}, false});
+    BOOST_TEST(path.reply_to(waiting) == "refused/deadline");
+}
+
 // Guards against a second run of a request whose message is duplicated or was cancelled before.
 BOOST_AUTO_TEST_CASE(request_numbers_run_once) {
     owner_path path;
--- a/packages/core/test/request_path.hpp
+++ b/packages/core/test/request_path.hpp
@@ -162,6 +162,9 @@
     log_position primary_position = 10;
     term_number model_term = test_term;
     bool attests = true;
+    int control_calls = 0;
+    /// Highest position that was asked for.
+    log_position attested = 0;
     bool connects = true;
 
     /// @brief A model target: guards its reads, counts writes, keeps claims.
@@ -247,6 +250,8 @@
 
     void perform(const call_control& value) {
         const attest_call* attest = std::get_if<attest_call>(&value.request);
+        ++control_calls;
+        attested = std::max(attested, attest == nullptr ? 0 : attest->position);
         control_result reply = control_unreachable{};
         if (attest != nullptr && attests) {
             reply = promise_reply{model_term, model_term, attest->position};
