Count orders in the target stand-in without copying them

Cause: counting and listing orders copied the whole table for each statement, so the stand-in would become slower with every order written.

Change: both read the committed rows and merge only the transaction's own changes. A test reads a transaction's own changes.

--- a/standins/target/src/executor.cpp
+++ b/standins/target/src/executor.cpp
@@ -87,20 +87,41 @@
     return {std::move(rows), tag};
 }
 
-statement_result select_orders(const table_set& tables, const transaction& current) {
-    std::vector<sql_row> rows;
+/// Orders that the transaction itself wrote.
+std::map<std::int64_t, v1::PutOrder> own_orders(const transaction& current) {
     table_set own;
     for (const v1::Change& change : current.changes) {
         own.apply(change);
     }
-    own.orders.insert(tables.orders.begin(), tables.orders.end());
-    rows.reserve(own.orders.size());
-    for (const auto& [id, order] : own.orders) {
-        rows.push_back(order_values(order));
+    return std::move(own.orders);
+}
+
+statement_result select_orders(const table_set& tables, const transaction& current) {
+    std::map<std::int64_t, v1::PutOrder> own = own_orders(current);
+    std::vector<sql_row> rows;
+    rows.reserve(tables.orders.size() + own.size());
+    auto next_own = own.begin();
+    for (const auto& [id, order] : tables.orders) {
+        for (; next_own != own.end() && next_own->first < id; ++next_own) {
+            rows.push_back(order_values(next_own->second));
+        }
+        const bool is_changed = next_own != own.end() && next_own->first == id;
+        rows.push_back(order_values(is_changed ? (next_own++)->second : order));
+    }
+    for (; next_own != own.end(); ++next_own) {
+        rows.push_back(order_values(next_own->second));
     }
     return select_result(std::move(rows));
 }
 
+statement_result count_orders(const table_set& tables, const transaction& current) {
+    std::size_t count = tables.orders.size();
+    for (const auto& [id, order] : own_orders(current)) {
+        count += tables.orders.contains(id) ? 0 : 1;
+    }
+    return select_result({{std::to_string(count)}});
+}
+
 statement_result insert_order(const table_set& tables, const std::vector<sql_value>& parameters,
                               transaction& current) {
     const std::int64_t id = parse_integer(parameters[0]);
@@ -277,7 +298,7 @@
     case statement_kind::select_orders:
         return select_orders(tables, current);
     case statement_kind::count_orders:
-        return select_result({{std::to_string(select_orders(tables, current).rows.size())}});
+        return count_orders(tables, current);
     case statement_kind::insert_request:
         return insert_request(tables, parameters, current);
     case statement_kind::update_request:
--- a/standins/target/test/protocol_test.cpp
+++ b/standins/target/test/protocol_test.cpp
@@ -154,6 +154,27 @@
     BOOST_TEST(connection.run_simple(count_orders).value(0, 0) == "0");
 }
 
+// Guards against reads that miss the transaction's own changes, or show them to others.
+BOOST_AUTO_TEST_CASE(transaction_reads_its_own_changes) {
+    const target_process target("a", {"--primary"});
+    client connection(target.port());
+    client other(target.port());
+    BOOST_TEST(connection.run(insert_order, {"2", "barn", "1"}).sqlstate.empty());
+    BOOST_TEST(connection.run("BEGIN").tag == "BEGIN");
+    BOOST_TEST(connection.run(insert_order, {"1", "shed", "1"}).sqlstate.empty());
+    BOOST_TEST(connection.run(insert_order, {"3", "shed", "1"}).sqlstate.empty());
+    BOOST_TEST(connection.run(update_order, {"2", "9"}).tag == "UPDATE 1");
+    const answer own = connection.run(select_orders);
+    std::string orders;
+    for (std::size_t row = 0; row < own.rows.size(); ++row) {
+        orders += own.value(row, 0) + ":" + own.value(row, 2) + " ";
+    }
+    BOOST_TEST(orders == "1:1 2:9 3:1 ");
+    BOOST_TEST(connection.run(count_orders).value(0, 0) == "3");
+    BOOST_TEST(other.run(count_orders).value(0, 0) == "1");
+    BOOST_TEST(other.run(select_orders).value(0, 2) == "1");
+}
+
 // Guards against a result that exceeds one buffer.
 BOOST_AUTO_TEST_CASE(large_result_arrives_completely) {
     constexpr int count = 3000;
