Clear the leaving mark of an earlier process

Cause: cluster_view kept a member's leaving mark when the platform's record of its earlier process was replaced. A restarted host could own no target in the view of hosts that heard no state change of it afterwards.

Change: a new host record sets the mark unless the host itself announced that it is leaving.

Ruled out: a correction in membership, which would wait for a direct message of the host, minutes in a large fleet.

--- a/packages/core/src/cluster_view.cpp
+++ b/packages/core/src/cluster_view.cpp
@@ -154,7 +154,9 @@
         listed_hosts_[host->id] = *host;
         const auto found = members_.find(host->id);
         if (found != members_.end()) {
-            found->second.host.leaving = found->second.host.leaving || host->leaving;
+            // A record of an earlier process may say leaving; the next one must clear the mark.
+            const bool announced = found->second.state == member_state::leaving;
+            found->second.host.leaving = announced || host->leaving;
         }
     }
     revisions_[key] = record.revision;
--- a/packages/core/test/membership_test.cpp
+++ b/packages/core/test/membership_test.cpp
@@ -271,6 +271,26 @@
     BOOST_TEST(test.live(0) == 4U);
 }
 
+// Guards against a restarted host that never owns targets again, because the platform still listed
+// its earlier process as leaving when it joined.
+BOOST_AUTO_TEST_CASE(listed_mark_of_an_earlier_process_is_cleared) {
+    network test{4};
+    test.join_all();
+    test.run(std::chrono::seconds{3});
+    host_record listed = make_host(3);
+    listed.leaving = true;
+    for (const std::unique_ptr<node>& entry : test.nodes) {
+        entry->view.apply({5, listed});
+    }
+    test.nodes[3] = std::make_unique<node>(3, 2U << refutation_bits);
+    test.join(3);
+    test.run(std::chrono::seconds{3});
+    BOOST_TEST(test.live(0) == 3U);
+    listed.leaving = false;
+    test.nodes[0]->view.apply({6, listed});
+    BOOST_TEST(test.live(0) == 4U);
+}
+
 // Guards against new ownership of a host that is about to stop.
 BOOST_AUTO_TEST_CASE(leaving_is_announced) {
     network test{6};
