Add the platform client

Cause: the host needs the platform's records, compare-and-swap on configuration and terms, a watch, and its own record under a lease.

Change: platform_task maps core::call_platform onto etcd calls. Calls wait in a queue until the channel is connected, so that a call without a connection certainly was not sent and ends as platform_unavailable; a write that fails after that ends as platform_unknown, also when the platform itself answers UNAVAILABLE, because its answer may follow the effect.

A call's context is destroyed before the destructor stops waiting. The context refers to the channel, and a channel whose last reference is dropped on gRPC's callback thread makes that thread use its completion queue after its end.

Ruled out: wait_for_ready, because a timeout would not tell a call that was never sent from one whose answer is late; gRPC's own retries, because a repeated compare would fail on the first attempt's effect.

--- /dev/null
+++ b/packages/platform/src/etcd_messages.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <lovagemoor/core/platform_call.hpp>
+#include <lovagemoor/platform/platform_settings.hpp>
+
+#include <etcd.pb.h>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// @file
+/// @brief Translation between the core's calls and etcd's messages, without gRPC.
+
+namespace lovagemoor::platform::internal {
+
+/// @brief Prefixes that hold all records.
+inline constexpr std::array<std::string_view, 2> record_prefixes{"/lovagemoor/", "/platform/"};
+
+/// @brief Result of a snapshot of all records.
+struct snapshot {
+    std::int64_t revision = 0;
+    std::vector<core::platform_record> records;
+};
+
+/// @return The first key after all keys that begin with the prefix; the last byte of the prefix
+/// must not be 0xff.
+[[nodiscard]] std::string prefix_end(std::string_view prefix);
+
+[[nodiscard]] etcdserverpb::RangeRequest range_of_key(const std::string& key);
+
+/// @return A transaction that reads all records at one revision.
+[[nodiscard]] etcdserverpb::TxnRequest snapshot_request();
+
+/// @return A transaction that writes the record if its key has the expected revision, and reads
+/// the key otherwise.
+/// @param expected_revision 0 when the key must not exist.
+[[nodiscard]] etcdserverpb::TxnRequest swap_request(const core::platform_record& wanted,
+                                                    std::int64_t expected_revision);
+
+/// @return A request for all changes of a prefix from a revision on.
+[[nodiscard]] etcdserverpb::WatchRequest watch_request(std::string_view prefix,
+                                                       std::int64_t start_revision);
+
+/// @return The record; unset, and reported, when it cannot be decoded.
+[[nodiscard]] std::optional<core::platform_record> decode(const platform_settings& settings,
+                                                          const etcdserverpb::KeyValue& value);
+
+/// @return platform_read; platform_unavailable when the record cannot be decoded.
+[[nodiscard]] core::platform_result read_result(const platform_settings& settings,
+                                                const etcdserverpb::RangeResponse& response);
+
+[[nodiscard]] snapshot snapshot_result(const platform_settings& settings,
+                                       const etcdserverpb::TxnResponse& response);
+
+/// @return platform_swapped; platform_unknown when the current record cannot be decoded.
+[[nodiscard]] core::platform_result swap_result(const platform_settings& settings,
+                                                core::platform_record wanted,
+                                                const etcdserverpb::TxnResponse& response);
+
+} // namespace lovagemoor::platform::internal
--- /dev/null
+++ b/packages/platform/src/platform_task.cpp
@@ -0,0 +1,748 @@
+#include <lovagemoor/platform/platform_task.hpp>
+
+#include "etcd_messages.hpp"
+
+#include <lovagemoor/codec/record_codec.hpp>
+#include <lovagemoor/core/cluster_view.hpp>
+
+#include <etcd.grpc.pb.h>
+
+#include <grpcpp/grpcpp.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <stop_token>
+#include <thread>
+#include <utility>
+
+namespace lovagemoor::platform {
+
+namespace {
+
+using namespace std::chrono_literals;
+using steady_clock = std::chrono::steady_clock;
+
+constexpr const char* host_metadata_key = "lovagemoor-host";
+
+/// Longest time that the destructor waits for the thread to leave a wait for a connection.
+constexpr std::chrono::milliseconds connect_poll_interval = 50ms;
+
+/// Bounds of the time between attempts to connect. gRPC's defaults of 1 s and 120 s would extend
+/// a short outage.
+/// @{
+constexpr std::chrono::milliseconds min_reconnect_interval = 100ms;
+constexpr std::chrono::milliseconds max_reconnect_interval = 1s;
+/// @}
+
+/// Pings find connections that a partition has cut without an error. etcd accepts one ping in 5 s.
+/// @{
+constexpr std::chrono::milliseconds ping_interval = 10s;
+constexpr std::chrono::milliseconds ping_timeout = 3s;
+/// @}
+
+/// Wait of the thread while nothing is due; bounds nothing but the wait itself.
+constexpr std::chrono::hours idle_interval = 1h;
+
+/// A lease is renewed when a third of it has passed, so that two renewals may fail.
+constexpr int renewals_per_lease = 3;
+
+std::shared_ptr<grpc::Channel> make_channel(const platform_settings& settings) {
+    std::string target = "ipv4:";
+    for (const std::string& endpoint : settings.endpoints) {
+        target += target.back() == ':' ? endpoint : "," + endpoint;
+    }
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
+                     static_cast<int>(min_reconnect_interval.count()));
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS,
+                     static_cast<int>(max_reconnect_interval.count()));
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS,
+                     static_cast<int>(max_reconnect_interval.count()));
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, static_cast<int>(ping_interval.count()));
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, static_cast<int>(ping_timeout.count()));
+    // A retry inside gRPC would answer a compare that its own first attempt has made fail.
+    arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    return grpc::CreateCustomChannel(target, grpc::InsecureChannelCredentials(), arguments);
+}
+
+/// @brief Watch from set_watch to its end. An open session owns itself until its stream is done.
+class watch_session final
+    : public grpc::ClientBidiReactor<etcdserverpb::WatchRequest, etcdserverpb::WatchResponse>,
+      public std::enable_shared_from_this<watch_session> {
+public:
+    struct hooks {
+        std::function<void(const etcdserverpb::KeyValue&)> changed;
+        std::function<void()> established;
+        /// The argument is true when the watch had been established.
+        std::function<void(bool)> lost;
+        /// The stream has ended; the context must not be cancelled any more.
+        std::function<void(grpc::ClientContext&)> ended;
+        /// The last call of the session, made after it has given up its stream's context.
+        std::function<void()> released;
+    };
+
+    explicit watch_session(hooks callbacks) : hooks_(std::move(callbacks)) {}
+
+    void open(etcdserverpb::Watch::Stub& stub, std::int64_t start_revision) {
+        self_ = shared_from_this();
+        start_revision_ = start_revision;
+        stub.async()->Watch(&context_, this);
+        write_next();
+        StartRead(&response_);
+        StartCall();
+    }
+
+    /// @brief Ends the session. No hook but `released` is called afterwards.
+    /// @return True when the session was neither established nor lost before.
+    bool stop() {
+        bool pending = false;
+        {
+            const std::lock_guard lock(mutex_);
+            pending = !stopped_ && !ended_ && !established_;
+            stopped_ = true;
+        }
+        context_.TryCancel();
+        return pending;
+    }
+
+    /// @brief Runs a function unless the session has been stopped.
+    /// @return False when it has been stopped.
+    bool unless_stopped(const std::function<void()>& function) {
+        const std::lock_guard lock(mutex_);
+        if (!stopped_) {
+            function();
+        }
+        return !stopped_;
+    }
+
+    [[nodiscard]] grpc::ClientContext& context() noexcept { return context_; }
+
+    void OnWriteDone(bool ok) override {
+        if (ok) {
+            write_next();
+        }
+    }
+
+    void OnReadDone(bool ok) override {
+        if (!ok) {
+            return;
+        }
+        if (response_.canceled()) {
+            context_.TryCancel();
+            return;
+        }
+        deliver();
+        StartRead(&response_);
+    }
+
+    void OnDone(const grpc::Status& /*status*/) override {
+        {
+            const std::lock_guard lock(mutex_);
+            ended_ = true;
+            if (!stopped_) {
+                hooks_.lost(established_);
+            }
+        }
+        hooks_.ended(context_);
+        const std::function<void()> released = hooks_.released;
+        // May destroy this object.
+        std::exchange(self_, nullptr).reset();
+        released();
+    }
+
+private:
+    void write_next() {
+        if (requested_ < internal::record_prefixes.size()) {
+            request_ =
+                internal::watch_request(internal::record_prefixes[requested_++], start_revision_);
+            StartWrite(&request_);
+        }
+    }
+
+    void deliver() {
+        const std::lock_guard lock(mutex_);
+        if (stopped_) {
+            return;
+        }
+        if (response_.created()) {
+            ++created_;
+            if (created_ == internal::record_prefixes.size()) {
+                established_ = true;
+                hooks_.established();
+            }
+        }
+        for (const etcdserverpb::Event& event : response_.events()) {
+            if (event.type() == etcdserverpb::Event::PUT) {
+                hooks_.changed(event.kv());
+            }
+        }
+    }
+
+    hooks hooks_;
+    std::shared_ptr<watch_session> self_;
+    grpc::ClientContext context_;
+    etcdserverpb::WatchRequest request_;
+    etcdserverpb::WatchResponse response_;
+    std::int64_t start_revision_ = 0;
+    std::size_t requested_ = 0;
+    std::size_t created_ = 0;
+    std::mutex mutex_;
+    bool established_ = false;
+    bool stopped_ = false;
+    bool ended_ = false;
+};
+
+/// @brief One renewal of a lease on a stream of its own.
+class lease_renewal final : public grpc::ClientBidiReactor<etcdserverpb::LeaseKeepAliveRequest,
+                                                           etcdserverpb::LeaseKeepAliveResponse> {
+public:
+    /// @param finished Gets the remaining lease, 0 for a lost one, unset when the call failed.
+    /// Called once, after the renewal has deleted itself.
+    /// @param ended Called before that; the context must not be cancelled any more.
+    void start(etcdserverpb::Lease::Stub& stub, std::int64_t lease,
+               std::function<void(std::optional<std::chrono::seconds>)> finished,
+               std::function<void(grpc::ClientContext&)> ended) {
+        finished_ = std::move(finished);
+        ended_ = std::move(ended);
+        request_.set_id(lease);
+        stub.async()->LeaseKeepAlive(&context_, this);
+        StartWriteLast(&request_, {});
+        StartRead(&response_);
+        StartCall();
+    }
+
+    [[nodiscard]] grpc::ClientContext& context() noexcept { return context_; }
+
+    void OnReadDone(bool ok) override {
+        if (ok) {
+            remaining_ = std::chrono::seconds{response_.ttl()};
+        }
+    }
+
+    void OnDone(const grpc::Status& /*status*/) override {
+        const auto finished = std::move(finished_);
+        const std::optional<std::chrono::seconds> remaining = remaining_;
+        ended_(context_);
+        delete this;
+        finished(remaining);
+    }
+
+private:
+    std::function<void(std::optional<std::chrono::seconds>)> finished_;
+    std::function<void(grpc::ClientContext&)> ended_;
+    grpc::ClientContext context_;
+    etcdserverpb::LeaseKeepAliveRequest request_;
+    etcdserverpb::LeaseKeepAliveResponse response_;
+    std::optional<std::chrono::seconds> remaining_;
+};
+
+} // namespace
+
+/// The thread starts calls once there is a connection; gRPC's threads finish them.
+class platform_task::implementation {
+public:
+    implementation(platform_settings settings, std::function<void(core::event)> sink)
+        : settings_(std::move(settings)),
+          sink_(std::move(sink)),
+          channel_(make_channel(settings_)),
+          kv_(etcdserverpb::KV::NewStub(channel_)),
+          watch_(etcdserverpb::Watch::NewStub(channel_)),
+          lease_(etcdserverpb::Lease::NewStub(channel_)),
+          thread_([this](const std::stop_token& stop) { run(stop); }) {}
+
+    ~implementation() {
+        thread_.request_stop();
+        thread_.join();
+        std::unique_lock lock(mutex_);
+        stopping_ = true;
+        for (grpc::ClientContext* const context : contexts_) {
+            context->TryCancel();
+        }
+        released_.wait(lock, [this] { return outstanding_ == 0; });
+    }
+
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+    implementation(implementation&&) = delete;
+    implementation& operator=(implementation&&) = delete;
+
+    void perform(const core::call_platform& call) {
+        std::visit([this, id = call.call](const auto& request) { start(id, request); },
+                   call.request);
+    }
+
+private:
+    /// @brief A call that waits for the connection.
+    struct pending_call {
+        steady_clock::time_point deadline;
+        /// Gets the time until which the call must end.
+        std::function<void(steady_clock::time_point)> send;
+        std::function<void()> reject;
+    };
+
+    struct registration {
+        /// Unset when the task itself renews the record.
+        std::optional<core::call_id> call;
+        core::register_host request;
+    };
+
+    template <typename Request, typename Response>
+    struct unary_call {
+        grpc::ClientContext context;
+        Request request;
+        Response response;
+    };
+
+    // Conversion of calls.
+
+    void start(core::call_id id, const core::read_configuration& /*request*/) {
+        read_key(id, core::configuration_key);
+    }
+
+    void start(core::call_id id, const core::read_term& request) {
+        read_key(id, core::terms_prefix + request.group.value);
+    }
+
+    void start(core::call_id id, const core::swap_configuration& request) {
+        swap(id, {0, request.value}, request.expected_revision);
+    }
+
+    void start(core::call_id id, const core::swap_term& request) {
+        swap(id, {0, request.value}, request.expected_revision);
+    }
+
+    void start(core::call_id id, const core::read_view& /*request*/) {
+        read_snapshot(
+            [this, id](internal::snapshot found) {
+                finish(id, core::platform_view{std::move(found.records)});
+            },
+            [this, id] { finish(id, core::platform_unavailable{}); });
+    }
+
+    void start(core::call_id id, const core::set_watch& request) {
+        if (request.enabled) {
+            start_watch(id);
+        } else {
+            replace_watch(0, nullptr);
+            finish(id, core::platform_ok{});
+        }
+    }
+
+    void start(core::call_id id, const core::register_host& request) {
+        const std::lock_guard lock(mutex_);
+        registrations_.push_back({id, request});
+        wake_.notify_one();
+    }
+
+    void read_key(core::call_id id, const std::string& key) {
+        send<etcdserverpb::RangeResponse>(
+            internal::range_of_key(key),
+            [this](auto&&... arguments) { kv_->async()->Range(arguments...); },
+            [this, id](const grpc::Status& status, const etcdserverpb::RangeResponse& response) {
+                finish(id, status.ok() ? internal::read_result(settings_, response)
+                                       : core::platform_unavailable{});
+            },
+            [this, id] { finish(id, core::platform_unavailable{}); });
+    }
+
+    void swap(core::call_id id, const core::platform_record& wanted,
+              std::int64_t expected_revision) {
+        send<etcdserverpb::TxnResponse>(
+            internal::swap_request(wanted, expected_revision),
+            [this](auto&&... arguments) { kv_->async()->Txn(arguments...); },
+            [this, id, wanted](const grpc::Status& status,
+                               const etcdserverpb::TxnResponse& response) {
+                finish(id, status.ok() ? internal::swap_result(settings_, wanted, response)
+                                       : core::platform_unknown{});
+            },
+            [this, id] { finish(id, core::platform_unavailable{}); });
+    }
+
+    void read_snapshot(std::function<void(internal::snapshot)> done, std::function<void()> failed) {
+        send<etcdserverpb::TxnResponse>(
+            internal::snapshot_request(),
+            [this](auto&&... arguments) { kv_->async()->Txn(arguments...); },
+            [this, done = std::move(done), failed](const grpc::Status& status,
+                                                   const etcdserverpb::TxnResponse& response) {
+                if (status.ok()) {
+                    done(internal::snapshot_result(settings_, response));
+                } else {
+                    failed();
+                }
+            },
+            failed);
+    }
+
+    // Watch.
+
+    void start_watch(core::call_id id) {
+        auto session = std::make_shared<watch_session>(watch_session::hooks{
+            .changed = [this](const etcdserverpb::KeyValue& value) { emit_change(value); },
+            .established = [this, id] { finish(id, core::platform_ok{}); },
+            .lost =
+                [this, id](bool established) {
+                    if (established) {
+                        sink_(core::platform_watch_lost{});
+                    } else {
+                        finish(id, core::platform_unavailable{});
+                    }
+                },
+            .ended = [this](grpc::ClientContext& context) { detach(context); },
+            .released = [this] { release(); }});
+        replace_watch(id, session);
+        read_snapshot(
+            [this, session](const internal::snapshot& found) { open_watch(*session, found); },
+            [this, id, session] {
+                if (session->stop()) {
+                    finish(id, core::platform_unavailable{});
+                }
+            });
+    }
+
+    void open_watch(watch_session& session, const internal::snapshot& found) {
+        const bool wanted = session.unless_stopped([this, &found] {
+            for (const core::platform_record& record : found.records) {
+                sink_(core::platform_changed{record});
+            }
+        });
+        if (wanted && hold(session.context())) {
+            add_host(session.context());
+            session.open(*watch_, found.revision + 1);
+        }
+    }
+
+    /// @brief Makes a session the present one and ends the previous one; a set_watch that was not
+    /// established yet ends as platform_unavailable.
+    void replace_watch(core::call_id id, std::shared_ptr<watch_session> session) {
+        std::shared_ptr<watch_session> previous;
+        core::call_id previous_id = 0;
+        {
+            const std::lock_guard lock(mutex_);
+            previous = std::exchange(session_, std::move(session));
+            previous_id = std::exchange(session_call_, id);
+        }
+        if (previous && previous->stop()) {
+            finish(previous_id, core::platform_unavailable{});
+        }
+    }
+
+    // Registration. At most one registration or renewal is under way (`registering_`).
+
+    void begin_registration(const registration& wanted) {
+        bool has_lease = false;
+        {
+            const std::lock_guard lock(mutex_);
+            if (record_ && record_->lease != wanted.request.lease) {
+                lease_id_ = 0;
+            }
+            record_ = wanted.request;
+            record_written_ = false;
+            has_lease = lease_id_ != 0;
+        }
+        if (has_lease) {
+            put_record(wanted);
+        } else {
+            grant_lease(wanted);
+        }
+    }
+
+    void grant_lease(const registration& wanted) {
+        etcdserverpb::LeaseGrantRequest request;
+        request.set_ttl(wanted.request.lease.count());
+        const auto failed = [this, wanted] {
+            end_registration(wanted, core::platform_unavailable{});
+        };
+        send<etcdserverpb::LeaseGrantResponse>(
+            request, [this](auto&&... arguments) { lease_->async()->LeaseGrant(arguments...); },
+            [this, wanted, failed](const grpc::Status& status,
+                                   const etcdserverpb::LeaseGrantResponse& response) {
+                if (!status.ok() || response.id() == 0) {
+                    failed();
+                    return;
+                }
+                {
+                    const std::lock_guard lock(mutex_);
+                    lease_id_ = response.id();
+                }
+                put_record(wanted);
+            },
+            failed);
+    }
+
+    void put_record(const registration& wanted) {
+        const core::platform_record record{0, wanted.request.host};
+        etcdserverpb::PutRequest request;
+        request.set_key(core::record_key(record));
+        request.set_value(codec::encode_record(record));
+        {
+            const std::lock_guard lock(mutex_);
+            request.set_lease(lease_id_);
+        }
+        send<etcdserverpb::PutResponse>(
+            request, [this](auto&&... arguments) { kv_->async()->Put(arguments...); },
+            [this, wanted](const grpc::Status& status,
+                           const etcdserverpb::PutResponse& /*response*/) {
+                if (status.error_code() == grpc::StatusCode::NOT_FOUND) {
+                    // The lease has ended since it was granted.
+                    grant_lease(wanted);
+                } else if (status.ok()) {
+                    end_registration(wanted, core::platform_ok{});
+                } else {
+                    end_registration(wanted, core::platform_unknown{});
+                }
+            },
+            [this, wanted] { end_registration(wanted, core::platform_unavailable{}); });
+    }
+
+    void end_registration(const registration& wanted, core::platform_result result) {
+        {
+            const std::lock_guard lock(mutex_);
+            record_written_ = std::holds_alternative<core::platform_ok>(result);
+            registering_ = false;
+            next_renewal_ = steady_clock::now() + wanted.request.lease / renewals_per_lease;
+            wake_.notify_one();
+        }
+        if (wanted.call) {
+            finish(*wanted.call, std::move(result));
+        }
+    }
+
+    void renew_lease(std::int64_t lease) {
+        const std::lock_guard lock(mutex_);
+        pending_.push_back(
+            {steady_clock::now() + settings_.call_timeout,
+             [this, lease](steady_clock::time_point deadline) { send_renewal(lease, deadline); },
+             [this] { end_renewal(std::nullopt); }});
+    }
+
+    void send_renewal(std::int64_t lease, steady_clock::time_point deadline) {
+        // Deletes itself in OnDone.
+        auto renewal = std::make_unique<lease_renewal>();
+        grpc::ClientContext& context = renewal->context();
+        if (!hold(context)) {
+            return;
+        }
+        add_host(context);
+        set_deadline(context, deadline);
+        renewal.release()->start(
+            *lease_, lease,
+            [this](std::optional<std::chrono::seconds> remaining) {
+                end_renewal(remaining);
+                release();
+            },
+            [this](grpc::ClientContext& ended) { detach(ended); });
+    }
+
+    void end_renewal(std::optional<std::chrono::seconds> remaining) {
+        const std::lock_guard lock(mutex_);
+        registering_ = false;
+        next_renewal_ = steady_clock::now();
+        if (remaining == 0s) {
+            lease_id_ = 0;
+        } else {
+            next_renewal_ += record_->lease / renewals_per_lease;
+        }
+        wake_.notify_one();
+    }
+
+    // Thread.
+
+    void run(const std::stop_token& stop) {
+        std::unique_lock lock(mutex_);
+        while (!stop.stop_requested()) {
+            if (!pending_.empty()) {
+                const pending_call call = std::move(pending_.front());
+                pending_.pop_front();
+                lock.unlock();
+                if (connect(stop, call.deadline)) {
+                    call.send(call.deadline);
+                } else {
+                    call.reject();
+                }
+                lock.lock();
+            } else if (!registering_ && registration_due()) {
+                registering_ = true;
+                start_registration(lock);
+            } else {
+                const auto ready = [this] {
+                    return !pending_.empty() || (!registering_ && registration_due());
+                };
+                const bool timed = record_ && !registering_;
+                wake_.wait_until(
+                    lock, stop, timed ? next_renewal_ : steady_clock::now() + idle_interval, ready);
+            }
+        }
+    }
+
+    [[nodiscard]] bool registration_due() const {
+        return !registrations_.empty() || (record_ && steady_clock::now() >= next_renewal_);
+    }
+
+    void start_registration(std::unique_lock<std::mutex>& lock) {
+        std::optional<registration> wanted;
+        if (!registrations_.empty()) {
+            wanted = std::move(registrations_.front());
+            registrations_.pop_front();
+        } else if (lease_id_ == 0 || !record_written_) {
+            wanted = registration{std::nullopt, *record_};
+        }
+        const std::int64_t lease = lease_id_;
+        lock.unlock();
+        if (wanted) {
+            begin_registration(*wanted);
+        } else {
+            renew_lease(lease);
+        }
+        lock.lock();
+    }
+
+    /// @brief Waits until the channel is connected.
+    /// @return False when the last attempt to connect failed, at the deadline, and when the task
+    /// stops: nothing has been sent then.
+    [[nodiscard]] bool connect(const std::stop_token& stop, steady_clock::time_point deadline) {
+        while (!stop.stop_requested()) {
+            const grpc_connectivity_state state = channel_->GetState(true);
+            if (state == GRPC_CHANNEL_READY) {
+                return true;
+            }
+            if (state == GRPC_CHANNEL_TRANSIENT_FAILURE || state == GRPC_CHANNEL_SHUTDOWN ||
+                steady_clock::now() >= deadline) {
+                return false;
+            }
+            channel_->WaitForStateChange(state,
+                                         std::chrono::system_clock::now() + connect_poll_interval);
+        }
+        return false;
+    }
+
+    // Calls.
+
+    /// @brief Queues a unary call.
+    /// @param invoke Calls the stub with context, request, response and callback.
+    /// @param done Gets the status and the response of a call that was sent.
+    /// @param reject Called when there is no connection before the call's deadline.
+    template <typename Response, typename Request, typename Invoke, typename Done>
+    void send(Request request, Invoke invoke, Done done, std::function<void()> reject) {
+        auto call = std::make_shared<unary_call<Request, Response>>();
+        call->request = std::move(request);
+        const auto start = [this, call, invoke, done,
+                            reject](steady_clock::time_point deadline) mutable {
+            add_host(call->context);
+            set_deadline(call->context, deadline);
+            if (!hold(call->context)) {
+                reject();
+                return;
+            }
+            grpc::ClientContext* const context = &call->context;
+            const auto* const sent = &call->request;
+            Response* const response = &call->response;
+            std::function<void(grpc::Status)> callback =
+                [this, call, done](const grpc::Status& status) mutable {
+                    {
+                        const Done finished = std::move(done);
+                        finished(status, call->response);
+                    }
+                    detach(call->context);
+                    call.reset();
+                    release();
+                };
+            invoke(context, sent, response, callback);
+        };
+        const std::lock_guard lock(mutex_);
+        pending_.push_back(
+            {steady_clock::now() + settings_.call_timeout, start, std::move(reject)});
+        wake_.notify_one();
+    }
+
+    /// @brief Notes an outstanding call, which the destructor cancels and waits for.
+    /// @return False when the task stops and the call must not be started.
+    [[nodiscard]] bool hold(grpc::ClientContext& context) {
+        const std::lock_guard lock(mutex_);
+        if (stopping_) {
+            return false;
+        }
+        contexts_.insert(&context);
+        ++outstanding_;
+        return true;
+    }
+
+    /// @brief Notes that a call has ended and cannot be cancelled any more.
+    void detach(grpc::ClientContext& context) {
+        const std::lock_guard lock(mutex_);
+        contexts_.erase(&context);
+    }
+
+    /// @brief Ends what hold() began. The task may be gone when it returns.
+    ///
+    /// The call's context must be destroyed before: it refers to the channel, and a channel whose
+    /// last reference is dropped in a callback joins gRPC's callback thread on that thread.
+    void release() {
+        const std::lock_guard lock(mutex_);
+        --outstanding_;
+        released_.notify_all();
+    }
+
+    void add_host(grpc::ClientContext& context) const {
+        if (!settings_.host.empty()) {
+            context.AddMetadata(host_metadata_key, settings_.host.value);
+        }
+    }
+
+    static void set_deadline(grpc::ClientContext& context, steady_clock::time_point deadline) {
+        context.set_deadline(
+            std::chrono::system_clock::now() +
+            std::chrono::duration_cast<std::chrono::microseconds>(deadline - steady_clock::now()));
+    }
+
+    void finish(core::call_id id, core::platform_result result) {
+        sink_(core::platform_finished{id, std::move(result)});
+    }
+
+    void emit_change(const etcdserverpb::KeyValue& value) {
+        if (std::optional<core::platform_record> record = internal::decode(settings_, value)) {
+            sink_(core::platform_changed{std::move(*record)});
+        }
+    }
+
+    platform_settings settings_;
+    std::function<void(core::event)> sink_;
+    std::shared_ptr<grpc::Channel> channel_;
+    std::unique_ptr<etcdserverpb::KV::Stub> kv_;
+    std::unique_ptr<etcdserverpb::Watch::Stub> watch_;
+    std::unique_ptr<etcdserverpb::Lease::Stub> lease_;
+    std::mutex mutex_;
+    std::condition_variable_any wake_;
+    std::condition_variable released_;
+    std::deque<pending_call> pending_;
+    /// Contexts of the calls that can be cancelled.
+    std::set<grpc::ClientContext*> contexts_;
+    /// Calls that gRPC has not finished yet.
+    std::size_t outstanding_ = 0;
+    bool stopping_ = false;
+    std::shared_ptr<watch_session> session_;
+    core::call_id session_call_ = 0;
+    std::deque<registration> registrations_;
+    bool registering_ = false;
+    std::optional<core::register_host> record_;
+    bool record_written_ = false;
+    std::int64_t lease_id_ = 0;
+    steady_clock::time_point next_renewal_;
+    std::jthread thread_;
+};
+
+platform_task::platform_task(platform_settings settings, std::function<void(core::event)> sink)
+    : implementation_(std::make_unique<implementation>(std::move(settings), std::move(sink))) {}
+
+platform_task::~platform_task() = default;
+
+void platform_task::perform(const core::call_platform& call) {
+    implementation_->perform(call);
+}
+
+} // namespace lovagemoor::platform
