Never refuse a read that reached a target as not run

A read whose connection broke, or that ran in a replaced term, was reported to the entry host as refused, which reached the caller as 'not run' when the deadline left no time for another attempt. It now ends as unknown; the entry host sends reads again in both cases, so that callers see it only at the deadline.

A position equal to the start of the next term was taken as valid.

--- a/packages/core/src/cluster_view.cpp
+++ b/packages/core/src/cluster_view.cpp
@@ -325,13 +325,15 @@
     if (shown.term > known) {
         return position_standing::ahead;
     }
-    if (record == nullptr) {
+    if (record == nullptr || shown.term == 0) {
         return position_standing::valid;
     }
     for (const term_start& start : record->history) {
         if (start.term > shown.term) {
-            return shown.position <= start.start ? position_standing::valid
-                                                 : position_standing::diverged;
+            // The later term's opening entry stands at its start, so that an entry of the earlier
+            // term at this position did not survive.
+            return shown.position < start.start ? position_standing::valid
+                                                : position_standing::diverged;
         }
     }
     return position_standing::valid;
--- a/packages/core/src/owner_results.cpp
+++ b/packages/core/src/owner_results.cpp
@@ -242,11 +242,7 @@
         break;
     case acknowledgement_status::superseded:
         owned.shown = {};
-        if (internal::changes_data(owned.request.operation)) {
-            answer(now, owned, outcome_unknown{unknown_reason::term_superseded}, actions);
-        } else {
-            answer(now, owned, refused{refusal_reason::stale_view, {}, {}, {}}, actions);
-        }
+        answer(now, owned, outcome_unknown{unknown_reason::term_superseded}, actions);
         break;
     case acknowledgement_status::no_quorum:
         owned.shown = {};
@@ -258,16 +254,14 @@
 outcome owner_service::lost_outcome(const owned_request& owned, bool sent,
                                     unknown_reason reason) const {
     const forwarded_operation operation = owned.request.operation;
-    if (internal::changes_data(operation) && sent) {
-        return outcome_unknown{reason};
-    }
-    if (internal::is_in_transaction(operation)) {
+    if (internal::is_in_transaction(operation) && !(internal::changes_data(operation) && sent)) {
         return failed{failure_reason::transaction_lost, {}, {}};
     }
-    if (reason == unknown_reason::deadline) {
+    if (sent) {
+        // A read or BEGIN has no lasting effect and is sent again by the entry host, but it
+        // reached a target, so that it must not end as a refusal.
         return outcome_unknown{reason};
     }
-    // Reads have no effect and a lost BEGIN is rolled back, so the entry host may send them again.
     return refused{refusal_reason::stale_view, {}, {}, {}};
 }
 
