--- a/packages/operators/src/operator_task.cpp
+++ b/packages/operators/src/operator_task.cpp
@@ -67,9 +67,9 @@
 /// entry until the core's answer, because a change that has begun cannot be cancelled.
 template <typename Result, typename Response>
 grpc::ServerUnaryReactor* start_call(call_registry& registry, grpc::CallbackServerContext& context,
-                                     core::operator_call call, Response& response) {
+                                     const core::operator_call& call, Response& response) {
     grpc::ServerUnaryReactor* reactor = context.DefaultReactor();
-    registry.start(std::move(call), [reactor, &response](const core::operator_result* result) {
+    registry.start(call, [reactor, &response](const core::operator_result* result) {
         const Result* value = result == nullptr ? nullptr : std::get_if<Result>(result);
         if (value == nullptr) {
             reactor->Finish({grpc::StatusCode::UNAVAILABLE, "the host is stopping"});
--- /dev/null
+++ b/testbed/include/lovagemoor/testbed/child_process.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lovagemoor::testbed {
+
+/// @brief Values that a program prints as key=value pairs when it is ready.
+using ready_values = std::map<std::string, std::string>;
+
+/// @brief A program started for a test or an experiment; killed when the object is destroyed.
+class child_process {
+public:
+    /// @brief Starts a program.
+    /// @param arguments Path of the program, then its arguments.
+    /// @param log_path File that receives the program's standard error.
+    /// @throws std::system_error when the program cannot be started.
+    child_process(const std::vector<std::string>& arguments, const std::string& log_path);
+    child_process(child_process&& other) noexcept;
+    child_process& operator=(child_process&& other) noexcept;
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+    ~child_process();
+
+    /// @brief Reads the first line that the program prints on standard output.
+    /// @throws std::runtime_error when the program ends or prints nothing within the timeout.
+    [[nodiscard]] ready_values wait_ready(std::chrono::milliseconds timeout);
+
+    /// @return Everything that the program prints on standard output until it closes it.
+    [[nodiscard]] std::string read_output(std::chrono::milliseconds timeout);
+
+    /// @brief Sends a signal; does nothing when the program has ended.
+    void signal(int number);
+
+    /// @brief Waits for the program's end.
+    /// @return Its exit code, 128 plus the signal's number when killed, or nothing on timeout.
+    std::optional<int> wait(std::chrono::milliseconds timeout);
+
+    [[nodiscard]] pid_t pid() const noexcept { return pid_; }
+
+private:
+    void stop() noexcept;
+    [[nodiscard]] bool wait_readable(std::chrono::steady_clock::time_point deadline) const;
+
+    pid_t pid_ = -1;
+    int output_ = -1;
+    std::optional<int> exit_code_;
+};
+
+} // namespace lovagemoor::testbed
--- /dev/null
+++ b/tests/process/drain_test.cpp
@@ -0,0 +1,113 @@
+#include <lovagemoor/testbed/cluster.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lovagemoor::testbed {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t ids_per_worker = 1'000'000;
+
+/// Calls that were cut or ended otherwise than a graceful stop allows.
+struct load_result {
+    std::atomic<std::uint32_t> done{0};
+    std::atomic<std::uint32_t> sent_elsewhere{0};
+    std::atomic<std::uint32_t> cut{0};
+    std::atomic<std::uint32_t> other{0};
+};
+
+void count(const call_reply& reply, load_result& result) {
+    const core::refused* refusal = std::get_if<core::refused>(&reply.result);
+    if (!reply.complete) {
+        ++result.cut;
+    } else if (reply.is_done()) {
+        ++result.done;
+    } else if (refusal != nullptr && refusal->reason == core::refusal_reason::host_leaving) {
+        ++result.sent_elsewhere;
+    } else {
+        ++result.other;
+        BOOST_TEST_MESSAGE(describe(reply));
+    }
+}
+
+/// Sends writes and reads one after the other until the host refuses or `stop` is set.
+void send_load(const std::string& address, std::size_t worker, const std::atomic<bool>& stop,
+               load_result& result) {
+    caller_client client{address};
+    for (std::uint32_t index = 0; !stop; ++index) {
+        const std::string id = std::to_string(worker * ids_per_worker + index + 1);
+        const call_reply reply = client.execute(insert_order(id, "barn", 1));
+        count(reply, result);
+        const core::refused* refusal = std::get_if<core::refused>(&reply.result);
+        if (refusal != nullptr && refusal->reason == core::refusal_reason::host_leaving) {
+            return;
+        }
+        count(client.execute(select_order(id)), result);
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(drain)
+
+// Guards against a planned stop that cuts requests in progress: those of its own callers, those
+// forwarded to it as owner, and open transactions.
+BOOST_AUTO_TEST_CASE(a_graceful_stop_cuts_no_request) {
+    cluster_options options;
+    options.hosts = 6;
+    options.service_time = 2ms;
+    cluster system{options};
+    cluster_host& leaving = system.hosts().front();
+    caller_client transaction_client{leaving.caller_address};
+    core::begin_request begin;
+    begin.service = core::service_id{cluster::service_name};
+    begin.shard_key = "open";
+    begin.timeout = 5s;
+    const call_reply begun = transaction_client.begin(begin);
+    BOOST_REQUIRE_MESSAGE(begun.is_done(), describe(begun));
+
+    std::atomic<bool> stop{false};
+    load_result result;
+    std::vector<std::thread> workers;
+    for (std::size_t worker = 0; worker < 12; ++worker) {
+        const std::string address = system.hosts().at(worker % 3).caller_address;
+        workers.emplace_back(
+            [address, worker, &stop, &result] { send_load(address, worker, stop, result); });
+    }
+    BOOST_REQUIRE(wait_until(10s, [&result] { return result.done > 200; }));
+    leaving.process->signal(SIGTERM);
+    const std::uint32_t done_at_stop = result.done;
+    BOOST_TEST(wait_until(10s, [&] { return result.done > done_at_stop + 200; }));
+
+    core::execute_request within = insert_order("999999999", "barn", 1);
+    within.transaction = begun.transaction;
+    const call_reply inside = transaction_client.execute(within);
+    BOOST_TEST(inside.is_done(), describe(inside));
+    const call_reply committed = transaction_client.end(
+        core::end_request{core::transaction_end::commit, begun.transaction, 5s, {}});
+    BOOST_TEST(committed.is_done(), describe(committed));
+
+    const std::optional<int> exit_code = leaving.process->wait(30s);
+    BOOST_TEST(exit_code.has_value());
+    BOOST_TEST(exit_code.value_or(-1) == 0);
+    stop = true;
+    for (std::thread& worker : workers) {
+        worker.join();
+    }
+    BOOST_TEST(result.cut == 0U);
+    BOOST_TEST(result.other == 0U);
+    BOOST_TEST(result.sent_elsewhere > 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lovagemoor::testbed
--- /dev/null
+++ b/tests/process/transaction_test.cpp
@@ -0,0 +1,141 @@
+#include <lovagemoor/testbed/cluster.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lovagemoor::testbed {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+core::begin_request begin_on(const std::string& shard_key) {
+    core::begin_request request;
+    request.service = core::service_id{cluster::service_name};
+    request.shard_key = shard_key;
+    request.timeout = 5s;
+    return request;
+}
+
+core::execute_request within(core::execute_request request, const call_reply& begun) {
+    request.transaction = begun.transaction;
+    return request;
+}
+
+core::end_request end_of(const call_reply& begun, core::transaction_end how) {
+    return core::end_request{how, begun.transaction, 5s, begun.session_token};
+}
+
+/// @return The host that owns the group's primary: the one host of its failure domain.
+std::size_t owner_of_primary(cluster& system) {
+    const core::domain_id domain = system.primary_of(core::group_id{"g0"}).domain;
+    std::size_t index = 0;
+    while (system.hosts().at(index).domain != domain) {
+        ++index;
+    }
+    return index;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(transaction)
+
+// Guards against transactions that mix and against handles that work on one host only.
+BOOST_AUTO_TEST_CASE(transactions_do_not_mix_and_move_between_hosts) {
+    cluster system{cluster_options{}};
+    caller_client first{system.hosts().at(0).caller_address};
+    caller_client second{system.hosts().at(1).caller_address};
+    const call_reply left = first.begin(begin_on("1"));
+    const call_reply right = second.begin(begin_on("1"));
+    BOOST_REQUIRE_MESSAGE(left.is_done(), describe(left));
+    BOOST_REQUIRE_MESSAGE(right.is_done(), describe(right));
+    BOOST_TEST(second.execute(within(insert_order("1", "barn", 1), left)).is_done());
+    BOOST_TEST(first.execute(within(insert_order("2", "shed", 2), right)).is_done());
+    BOOST_TEST(first.execute(within(select_order("2"), left)).rows.empty());
+    BOOST_TEST(second.end(end_of(left, core::transaction_end::commit)).is_done());
+    BOOST_TEST(first.end(end_of(right, core::transaction_end::rollback)).is_done());
+    BOOST_TEST(first.execute(select_order("1")).rows.size() == 1U);
+    BOOST_TEST(first.execute(select_order("2")).rows.empty());
+    const call_reply again = first.end(end_of(left, core::transaction_end::commit));
+    BOOST_TEST(std::holds_alternative<core::refused>(again.result), describe(again));
+}
+
+// Guards against a half-done transaction that survives its host, and against its work leaking into
+// the next transaction.
+BOOST_AUTO_TEST_CASE(a_transaction_ends_with_its_owner) {
+    cluster system{cluster_options{}};
+    const std::size_t owner = owner_of_primary(system);
+    const std::size_t other = (owner + 1) % system.hosts().size();
+    caller_client client{system.hosts().at(other).caller_address};
+    const call_reply begun = client.begin(begin_on("1"));
+    BOOST_REQUIRE_MESSAGE(begun.is_done(), describe(begun));
+    BOOST_TEST(client.execute(within(insert_order("1", "barn", 1), begun)).is_done());
+    system.hosts().at(owner).process->signal(SIGKILL);
+    const call_reply lost = client.end(end_of(begun, core::transaction_end::commit));
+    BOOST_TEST(!lost.is_done(), describe(lost));
+    BOOST_REQUIRE(wait_until(
+        20s, [&client] { return client.execute(insert_order("2", "shed", 1)).is_done(); }));
+    const call_reply read = client.execute(select_order("1"));
+    BOOST_REQUIRE_MESSAGE(read.is_done(), describe(read));
+    BOOST_TEST(read.rows.empty());
+}
+
+// Guards against a keyed request that runs again when it is repeated through another host, during
+// the first run or after it.
+BOOST_AUTO_TEST_CASE(a_keyed_request_runs_once) {
+    cluster system{cluster_options{}};
+    std::vector<std::thread> threads;
+    std::vector<call_reply> replies(system.hosts().size() * 2);
+    for (std::size_t index = 0; index < replies.size(); ++index) {
+        threads.emplace_back([&system, &replies, index] {
+            caller_client client{system.hosts().at(index % system.hosts().size()).caller_address};
+            core::execute_request request = insert_order("1", "barn", 1);
+            request.idempotency_key = "booking-1";
+            replies.at(index) = client.execute(request);
+        });
+    }
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+    std::size_t first_runs = 0;
+    for (const call_reply& reply : replies) {
+        BOOST_REQUIRE_MESSAGE(reply.is_done(), describe(reply));
+        first_runs += std::get<core::done>(reply.result).replayed ? 0U : 1U;
+    }
+    BOOST_TEST(first_runs == 1U);
+    caller_client client{system.hosts().front().caller_address};
+    core::execute_request other = insert_order("1", "shed", 9);
+    other.idempotency_key = "booking-1";
+    const call_reply conflict = client.execute(other);
+    const core::failed* failure = std::get_if<core::failed>(&conflict.result);
+    BOOST_REQUIRE_MESSAGE(failure != nullptr, describe(conflict));
+    BOOST_TEST((failure->reason == core::failure_reason::idempotency_conflict));
+}
+
+// Guards against a doubled write when the primary's answer is lost after COMMIT took effect.
+BOOST_AUTO_TEST_CASE(an_answer_lost_after_commit_is_never_repeated_blindly) {
+    cluster system{cluster_options{}};
+    caller_client client{system.hosts().front().caller_address};
+    BOOST_REQUIRE(client.execute(insert_order("1", "barn", 1)).is_done());
+    target_client primary{system.primary_of(core::group_id{"g0"}).port};
+
+    primary.control("drop_after_commit", "on");
+    const call_reply unkeyed = client.execute(insert_order("2", "barn", 1));
+    BOOST_TEST(std::holds_alternative<core::outcome_unknown>(unkeyed.result), describe(unkeyed));
+
+    primary.control("drop_after_commit", "on");
+    core::execute_request request = insert_order("3", "barn", 1);
+    request.idempotency_key = "booking-3";
+    const call_reply keyed = client.execute(request);
+    BOOST_REQUIRE_MESSAGE(keyed.is_done(), describe(keyed));
+    BOOST_TEST(std::get<core::done>(keyed.result).replayed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lovagemoor::testbed
