Add load generation and five experiments

Change: lovagemoor_bench runs one experiment from an INI file against real processes; tools/bench builds it and runs it. Arrivals are an open-loop Poisson process from a printed seed; latencies count from the intended arrival, in a logarithmic histogram. Capacity and saturation are measured with a fixed number of outstanding requests, and sessions of replica-reads send one request after the other, because each needs the token of its last answer.

Ruled out: trials that share a cluster in failover, because a killed target cannot rejoin its group; counting doubled writes from rows alone, because the primary key hides them, so a unique violation of a repeated key counts.

--- /dev/null
+++ b/bench/control/src/fake_platform.cpp
@@ -0,0 +1,81 @@
+#include "fake_platform.hpp"
+
+#include <lovagemoor/core/cluster_view.hpp>
+
+#include <utility>
+
+namespace lovagemoor::bench {
+
+core::platform_record fake_platform::put(core::platform_record record) {
+    record.revision = ++revision_;
+    records_[core::record_key(record)] = record;
+    changes_.push_back(record);
+    return record;
+}
+
+core::platform_result fake_platform::perform(std::size_t host, const core::platform_call& call) {
+    if (std::holds_alternative<core::read_configuration>(call)) {
+        ++load_.reads;
+        return read(core::configuration_key);
+    }
+    if (const core::read_term* term = std::get_if<core::read_term>(&call)) {
+        ++load_.reads;
+        return read(core::terms_prefix + term->group.value);
+    }
+    if (std::holds_alternative<core::read_view>(call)) {
+        ++load_.reads;
+        load_.records_read += records_.size();
+        core::platform_view view;
+        for (const auto& [key, record] : records_) {
+            view.records.push_back(record);
+        }
+        return view;
+    }
+    if (const core::set_watch* watch = std::get_if<core::set_watch>(&call)) {
+        if (watch->enabled) {
+            watchers_.insert(host);
+        } else {
+            watchers_.erase(host);
+        }
+        return core::platform_ok{};
+    }
+    ++load_.writes;
+    if (const auto* swapped = std::get_if<core::swap_configuration>(&call)) {
+        return swap(swapped->expected_revision, {0, swapped->value});
+    }
+    if (const core::swap_term* swapped = std::get_if<core::swap_term>(&call)) {
+        return swap(swapped->expected_revision, {0, swapped->value});
+    }
+    put({0, std::get<core::register_host>(call).host});
+    return core::platform_ok{};
+}
+
+std::vector<core::platform_record> fake_platform::take_changes() {
+    return std::exchange(changes_, {});
+}
+
+bool fake_platform::is_serving(const core::group_id& group, core::term_number term) const {
+    const core::platform_read held = read(core::terms_prefix + group.value);
+    if (!held.record.has_value()) {
+        return false;
+    }
+    const auto& value = std::get<core::term_record>(held.record->value);
+    return value.term >= term && value.phase == core::term_phase::serving;
+}
+
+core::platform_read fake_platform::read(const std::string& key) const {
+    const auto found = records_.find(key);
+    return found == records_.end() ? core::platform_read{} : core::platform_read{found->second};
+}
+
+core::platform_swapped fake_platform::swap(std::int64_t expected_revision,
+                                           core::platform_record record) {
+    const core::platform_read held = read(core::record_key(record));
+    const std::int64_t revision = held.record.has_value() ? held.record->revision : 0;
+    if (revision != expected_revision) {
+        return {false, held.record};
+    }
+    return {true, put(std::move(record))};
+}
+
+} // namespace lovagemoor::bench
--- /dev/null
+++ b/bench/control/src/fake_platform.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <lovagemoor/core/platform_call.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lovagemoor::bench {
+
+/// @brief Counters of the platform's load.
+struct platform_load {
+    std::uint64_t reads = 0;
+    std::uint64_t records_read = 0;
+    std::uint64_t writes = 0;
+};
+
+/// @brief Key-value service that is always reachable and keeps its records in a map.
+class fake_platform {
+public:
+    /// @brief Stores a record with the next revision.
+    /// @return The stored record.
+    core::platform_record put(core::platform_record record);
+
+    /// @brief Performs a call of a host.
+    /// @param host Index of the host.
+    [[nodiscard]] core::platform_result perform(std::size_t host, const core::platform_call& call);
+
+    /// @brief Ends the watch of a stopped host.
+    void stop_host(std::size_t host) { watchers_.erase(host); }
+
+    /// @return Records written since the last call, for the watchers.
+    [[nodiscard]] std::vector<core::platform_record> take_changes();
+
+    /// @return True when the group's term record is serving in the term or a later one.
+    [[nodiscard]] bool is_serving(const core::group_id& group, core::term_number term) const;
+
+    [[nodiscard]] const std::set<std::size_t>& watchers() const noexcept { return watchers_; }
+
+    [[nodiscard]] const platform_load& load() const noexcept { return load_; }
+
+private:
+    [[nodiscard]] core::platform_read read(const std::string& key) const;
+    [[nodiscard]] core::platform_swapped swap(std::int64_t expected_revision,
+                                              core::platform_record record);
+
+    std::map<std::string, core::platform_record> records_;
+    std::vector<core::platform_record> changes_;
+    std::set<std::size_t> watchers_;
+    std::int64_t revision_ = 0;
+    platform_load load_;
+};
+
+} // namespace lovagemoor::bench
--- /dev/null
+++ b/bench/control/src/fake_targets.cpp
@@ -0,0 +1,41 @@
+#include "fake_targets.hpp"
+
+#include <algorithm>
+
+namespace lovagemoor::bench {
+
+void fake_targets::add(const core::target_id& target, bool is_primary) {
+    core::status_reply state;
+    state.promised_term = 1;
+    state.last_term = 1;
+    state.position = 1;
+    state.is_primary = is_primary;
+    states_[target] = state;
+}
+
+core::control_result fake_targets::perform(const core::target_id& target,
+                                           const core::control_call& call) {
+    core::status_reply& state = states_.at(target);
+    if (std::holds_alternative<core::status_call>(call)) {
+        return state;
+    }
+    if (const core::raise_call* raise = std::get_if<core::raise_call>(&call)) {
+        if (raise->term < state.promised_term) {
+            return core::control_error{core::sqlstate::term_superseded};
+        }
+        state.is_primary = state.is_primary && raise->term == state.promised_term;
+        state.promised_term = raise->term;
+    }
+    if (const core::promote_call* promote = std::get_if<core::promote_call>(&call)) {
+        if (promote->term != state.promised_term) {
+            return core::control_error{core::sqlstate::term_superseded};
+        }
+        state.is_primary = true;
+        state.last_term = promote->term;
+        ++state.position;
+        return core::promote_reply{promote->term, state.position};
+    }
+    return core::promise_reply{state.promised_term, state.last_term, state.position};
+}
+
+} // namespace lovagemoor::bench
--- /dev/null
+++ b/bench/control/src/fake_targets.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <lovagemoor/core/target_job.hpp>
+
+#include <map>
+#include <set>
+
+namespace lovagemoor::bench {
+
+/// @brief Targets that answer control calls at once and replicate without delay.
+class fake_targets {
+public:
+    /// @brief Adds a target in term 1.
+    void add(const core::target_id& target, bool is_primary);
+
+    /// @brief From now on the target answers nothing.
+    void stop(const core::target_id& target) { stopped_.insert(target); }
+
+    [[nodiscard]] bool is_stopped(const core::target_id& target) const {
+        return stopped_.contains(target);
+    }
+
+    /// @brief Answers a call to a running target.
+    [[nodiscard]] core::control_result perform(const core::target_id& target,
+                                               const core::control_call& call);
+
+private:
+    std::map<core::target_id, core::status_reply> states_;
+    std::set<core::target_id> stopped_;
+};
+
+} // namespace lovagemoor::bench
--- /dev/null
+++ b/bench/control/src/fleet.hpp
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "fake_platform.hpp"
+#include "fake_targets.hpp"
+
+#include <lovagemoor/core/engine.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace lovagemoor::bench {
+
+/// @brief Processor time of this process.
+[[nodiscard]] std::chrono::nanoseconds process_cpu_time();
+
+struct fleet_options {
+    std::size_t hosts = 15;
+    std::size_t domains = 4;
+    std::size_t groups = 5;
+    std::uint64_t seed = 1;
+};
+
+/// @brief Load by one kind of message or call.
+struct kind_load {
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+    std::chrono::nanoseconds cpu{0};
+};
+
+/// @brief Load since the last reset.
+struct fleet_load {
+    std::vector<std::uint64_t> bytes_sent;
+    std::vector<std::uint64_t> bytes_received;
+    /// Processor time of each host's engine with its encoding and decoding.
+    std::vector<std::chrono::nanoseconds> cpu;
+    /// By the kind of message sent, or for the processor time by the event handled.
+    std::map<std::string, kind_load> kinds;
+    std::map<std::string, std::uint64_t> control_calls;
+    platform_load platform_start;
+};
+
+/// @brief Engines of many hosts on one time-ordered queue.
+///
+/// Peer messages are encoded and decoded and take 2 ms. The platform answers after 2 ms, targets
+/// at once. There are no callers.
+class fleet {
+public:
+    explicit fleet(const fleet_options& options);
+
+    /// @brief Runs until the given time of the simulation or until `is_done` holds.
+    /// @return Time of the simulation at the end.
+    core::time_point run_until(core::time_point end, const std::function<bool()>& is_done = {});
+
+    void call_operator(std::size_t host, const core::operator_call& call);
+    void stop_host(std::size_t host);
+
+    void stop_target(const core::target_id& target) { targets_.stop(target); }
+
+    void reset_load();
+
+    [[nodiscard]] const fleet_load& load() const noexcept { return load_; }
+
+    [[nodiscard]] const fake_platform& platform() const noexcept { return platform_; }
+
+    [[nodiscard]] core::time_point now() const noexcept { return now_; }
+
+    [[nodiscard]] const core::service_record& first_service() const noexcept { return service_; }
+
+    /// @return True when the condition holds on each running host. Hosts that fulfilled it are not
+    /// asked again until the next call with `restart`.
+    bool holds_everywhere(const std::function<bool(const core::cluster_view&)>& condition,
+                          bool restart = false);
+
+    /// @return Running hosts whose records differ from those of the first host.
+    [[nodiscard]] std::size_t differing_views() const;
+
+    /// @return Members that a host does not know, summed over all hosts.
+    [[nodiscard]] std::size_t unknown_members() const;
+
+private:
+    struct wire_message {
+        std::size_t from = 0;
+        std::string bytes;
+        const char* kind = "";
+    };
+
+    struct wakeup {};
+
+    struct scheduled {
+        core::time_point at;
+        std::uint64_t number = 0;
+        std::size_t host = 0;
+        std::variant<wakeup, wire_message, core::event> what;
+    };
+
+    struct later {
+        bool operator()(const scheduled& left, const scheduled& right) const noexcept {
+            return left.at != right.at ? left.at > right.at : left.number > right.number;
+        }
+    };
+
+    struct simulated_host {
+        core::host_record record;
+        std::unique_ptr<core::engine> engine;
+        bool started = false;
+        bool stopped = false;
+        core::time_point wakeup = core::time_point::max();
+    };
+
+    void add_records(const fleet_options& options);
+    void add_hosts(const fleet_options& options);
+    void schedule(core::time_point at, std::size_t host,
+                  std::variant<wakeup, wire_message, core::event> what);
+    void deliver(const scheduled& item);
+    void handle(std::size_t host, const core::event& value, const std::string& kind);
+    void perform(std::size_t host, const core::action& value, const std::string& kind);
+    void send(std::size_t host, const core::send_to_peer& message, const std::string& kind);
+    void call_target(std::size_t host, const core::call_control& call);
+    void call_platform(std::size_t host, const core::call_platform& call);
+    void add_cpu(std::size_t host, const std::string& kind, std::chrono::nanoseconds since);
+    void plan_wakeup(std::size_t host);
+
+    core::time_point now_{std::chrono::seconds{100}};
+    std::uint64_t last_number_ = 0;
+    std::priority_queue<scheduled, std::vector<scheduled>, later> queue_;
+    std::vector<simulated_host> hosts_;
+    std::unordered_map<core::host_id, std::size_t> index_;
+    std::vector<bool> fulfilled_;
+    fake_platform platform_;
+    fake_targets targets_;
+    core::service_record service_;
+    fleet_load load_;
+};
+
+} // namespace lovagemoor::bench
--- /dev/null
+++ b/bench/src/workload.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "parameters.hpp"
+
+#include <lovagemoor/testbed/cluster.hpp>
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace lovagemoor::bench {
+
+/// @brief Cluster options of the profile that the parameters name, with `hosts` and
+/// `service_time_ms` from the parameters.
+[[nodiscard]] testbed::cluster_options make_options(const parameters& values);
+
+/// @return `per_host` clients for each host outside the excluded failure domain.
+[[nodiscard]] std::vector<testbed::caller_client>
+connect_clients(testbed::cluster& system, std::size_t per_host,
+                const core::domain_id& excluded = core::domain_id{});
+
+/// @return A shard key that the proxy maps to the group.
+[[nodiscard]] std::string find_shard_key(const testbed::cluster_options& options,
+                                         const core::group_id& group);
+
+[[nodiscard]] core::group_id group_name(std::uint32_t index);
+
+/// @return Shard key of a uniformly drawn part of the data.
+[[nodiscard]] std::string draw_shard_key(std::mt19937_64& random);
+
+/// @brief Value of a numeric order identifier in rows that a target returned.
+[[nodiscard]] std::int64_t parse_order(const std::string& text);
+
+} // namespace lovagemoor::bench
