Run reads in a read-only transaction

A statement that writes but was declared as a read would have run unfenced, and twice when the entry host sent the read again. Reads now run between BEGIN READ ONLY and COMMIT in the same round trip, and 25006 on a read is the caller's error. Weighed: SET TRANSACTION READ ONLY in the implicit transaction, which PostgreSQL ignores outside a block.

Also: a host that the platform lists as leaving drains, unless the record is of an earlier process, and observers are ranked only when the owners do not suffice.

--- a/packages/core/include/lovagemoor/core/engine.hpp
+++ b/packages/core/include/lovagemoor/core/engine.hpp
@@ -64,6 +64,8 @@
     void handle_platform(time_point now, const platform_finished& finished, action_list& actions);
     void handle_timer(time_point now, action_list& actions);
     void settle(time_point now, action_list& actions);
+    /// Starts a graceful stop when the platform lists this host as leaving.
+    void follow_own_record(time_point now, action_list& actions);
     void begin_drain(time_point now, action_list& actions);
     void check_drain(time_point now, action_list& actions);
     [[nodiscard]] status_result status() const;
@@ -88,6 +90,8 @@
     std::optional<time_point> drain_started_;
     /// Since when a draining host has had nothing in progress.
     std::optional<time_point> empty_since_;
+    /// True once the platform has listed this process as live.
+    bool was_listed_ = false;
     time_point drain_check_ = time_point::max();
     bool stopped_ = false;
 };
--- a/packages/core/src/cluster_view.cpp
+++ b/packages/core/src/cluster_view.cpp
@@ -288,11 +288,14 @@
             add(*owner);
         }
     }
+    if (observers.size() >= count) {
+        return observers;
+    }
     for (const host_id& host : rank_hosts(group.value, live_hosts())) {
+        add(host);
         if (observers.size() >= count) {
             break;
         }
-        add(host);
     }
     return observers;
 }
--- a/packages/core/src/engine.cpp
+++ b/packages/core/src/engine.cpp
@@ -216,6 +216,7 @@
     view_sync_.publish(now, changer_.take_new_records(), actions);
     if (view_.generation() != seen_generation_) {
         seen_generation_ = view_.generation();
+        follow_own_record(now, actions);
         owner_.on_view_changed(now, actions);
         entry_.on_view_changed(now, actions);
     }
@@ -224,6 +225,19 @@
     }
 }
 
+void engine::follow_own_record(time_point now, action_list& actions) {
+    const auto listed = view_.listed_hosts().find(identity_.self.id);
+    if (listed == view_.listed_hosts().end()) {
+        return;
+    }
+    // The record of an earlier process with this identifier may still say that it is leaving.
+    const bool is_own = listed->second.peer_address == identity_.self.peer_address;
+    was_listed_ = was_listed_ || (is_own && !listed->second.leaving);
+    if (was_listed_ && listed->second.leaving) {
+        begin_drain(now, actions);
+    }
+}
+
 void engine::begin_drain(time_point now, action_list& actions) {
     if (drain_started_.has_value()) {
         return;
--- a/packages/core/src/owner_results.cpp
+++ b/packages/core/src/owner_results.cpp
@@ -23,8 +23,11 @@
 }
 
 /// SQLSTATEs by which a target refuses a request before any of it took effect.
-std::optional<refusal_reason> refusal_for(const std::string& state) {
-    if (state == sqlstate::read_only || state == sqlstate::behind) {
+std::optional<refusal_reason> refusal_for(const std::string& state, forwarded_operation operation) {
+    // Reads run in a read-only transaction, where this state is the caller's mistake.
+    const bool is_replaced_primary =
+        state == sqlstate::read_only && operation != forwarded_operation::read;
+    if (is_replaced_primary || state == sqlstate::behind) {
         return refusal_reason::stale_view;
     }
     if (state == sqlstate::diverged) {
@@ -169,7 +172,7 @@
         answer(now, owned, failure, actions);
         return;
     }
-    const std::optional<refusal_reason> refusal = internal::refusal_for(error.sqlstate);
+    const std::optional<refusal_reason> refusal = internal::refusal_for(error.sqlstate, operation);
     if (!refusal.has_value()) {
         answer(now, owned, failure, actions);
         return;
--- a/packages/core/test/engine_test.cpp
+++ b/packages/core/test/engine_test.cpp
@@ -170,6 +170,28 @@
     BOOST_TEST(host.stopped());
 }
 
+// Guards against a host that ignores the platform's list, and against one that stops because of the
+// record of its earlier process.
+BOOST_AUTO_TEST_CASE(a_host_listed_as_leaving_drains) {
+    single_host host;
+    host_record record;
+    record.id = host_id{"h"};
+    record.peer_address = "tcp://127.0.0.1:2";
+    record.leaving = true;
+    host.send(platform_changed{{10, record}});
+    host.advance(10s);
+    BOOST_TEST(!host.stopped());
+    record.peer_address = "tcp://127.0.0.1:1";
+    record.leaving = false;
+    host.send(platform_changed{{11, record}});
+    host.advance(10s);
+    BOOST_TEST(!host.stopped());
+    record.leaving = true;
+    host.send(platform_changed{{12, record}});
+    host.advance(10s);
+    BOOST_TEST(host.stopped());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lovagemoor::core
--- a/packages/core/test/owner_service_test.cpp
+++ b/packages/core/test/owner_service_test.cpp
@@ -38,6 +38,7 @@
     {"read behind", operation::read, error(sqlstate::behind), "refused/stale_view"},
     {"read diverged", operation::read, error(sqlstate::diverged), "refused/session_diverged"},
     {"read too old", operation::read, error(sqlstate::too_old), "refused/too_stale"},
+    {"read that writes", operation::read, error(sqlstate::read_only), "failed/database_error"},
     {"read error", operation::read, error("42P01"), "failed/database_error"},
     {"read lost", operation::read, lost_sent, "unknown/connection_lost"},
     {"read not sent", operation::read, lost_unsent, "refused/stale_view"},
--- a/packages/target/src/job_run.cpp
+++ b/packages/target/src/job_run.cpp
@@ -94,8 +94,11 @@
     if (error_) {
         return;
     }
+    // Reads may be sent again, so that a statement that writes must fail here.
+    send(job_step::begin, "BEGIN READ ONLY");
     send_guard(job.guard);
     send(job_step::statement, job.statement.sql, job.statement.parameters);
+    send(job_step::commit, "COMMIT");
     send_sync();
 }
 
--- a/standins/target/src/catalogue.cpp
+++ b/standins/target/src/catalogue.cpp
@@ -60,6 +60,7 @@
     const std::vector<result_column> promise = bigints({"promised_term", "last_term", "position"});
     return {
         {kind::begin, "BEGIN"},
+        {kind::begin_read_only, "BEGIN READ ONLY"},
         {kind::commit, "COMMIT"},
         {kind::rollback, "ROLLBACK"},
         {kind::discard, "DISCARD ALL"},
--- a/standins/target/src/catalogue.hpp
+++ b/standins/target/src/catalogue.hpp
@@ -17,6 +17,7 @@
     count_orders,
     sleep,
     begin,
+    begin_read_only,
     commit,
     rollback,
     discard,
--- a/standins/target/src/executor.hpp
+++ b/standins/target/src/executor.hpp
@@ -19,6 +19,7 @@
     /// Begun by BEGIN; otherwise it is implicit and ends at Sync.
     bool in_block = false;
     bool failed = false;
+    bool read_only = false;
     std::vector<v1::Change> changes;
 };
 
