--- a/bench/control/src/fake_platform.cpp
+++ b/bench/control/src/fake_platform.cpp
@@ -46,7 +46,12 @@
     if (const core::swap_term* swapped = std::get_if<core::swap_term>(&call)) {
         return swap(swapped->expected_revision, {0, swapped->value});
     }
-    put({0, std::get<core::register_host>(call).host});
+    // A host that is listed already only renews its lease; the record keeps its revision.
+    const core::platform_record record{0, std::get<core::register_host>(call).host};
+    const core::platform_read held = read(core::record_key(record));
+    if (!held.record.has_value() || held.record->value != record.value) {
+        put(record);
+    }
     return core::platform_ok{};
 }
 
--- a/bench/control/src/fleet.cpp
+++ b/bench/control/src/fleet.cpp
@@ -105,6 +105,11 @@
         record.caller_address = address + ":7401";
         record.operator_address = address + ":7402";
         index_[record.id] = number;
+        if (options.joined) {
+            platform_.put({0, record});
+            members_.push_back({record, core::incarnation_number{1} << core::refutation_bits,
+                                core::member_state::alive, 0});
+        }
         hosts_.push_back({record, nullptr, false, false, core::time_point::max()});
     }
     for (std::size_t number = 0; number < options.hosts; ++number) {
@@ -122,6 +127,7 @@
         schedule(hosts_[number].wakeup, number, wakeup{});
     }
     fulfilled_.resize(options.hosts);
+    static_cast<void>(platform_.take_changes());
 }
 
 core::time_point fleet::run_until(core::time_point end, const std::function<bool()>& is_done) {
@@ -201,11 +207,7 @@
         }
         host.wakeup = core::time_point::max();
         if (!host.started) {
-            host.started = true;
-            for (const core::action& value : host.engine->start(now_)) {
-                perform(item.host, value, "start");
-            }
-            plan_wakeup(item.host);
+            start(item.host);
         } else if (host.engine->next_wakeup() > now_) {
             plan_wakeup(item.host);
         } else {
@@ -232,6 +234,23 @@
     }
 }
 
+void fleet::start(std::size_t host) {
+    hosts_[host].started = true;
+    for (const core::action& value : hosts_[host].engine->start(now_)) {
+        perform(host, value, "start");
+    }
+    if (members_.empty()) {
+        plan_wakeup(host);
+        return;
+    }
+    core::membership_sync list;
+    list.is_reply = true;
+    list.gossip.sender = members_[host == 0 ? 1 : 0];
+    list.gossip.updates = members_;
+    const core::host_id from = list.gossip.sender.host.id;
+    handle(host, core::peer_received{from, std::move(list)}, "start");
+}
+
 void fleet::handle(std::size_t host, const core::event& value, const std::string& kind) {
     const std::chrono::nanoseconds before = process_cpu_time();
     const core::action_list actions = hosts_[host].engine->handle(now_, value);
--- a/bench/control/src/fleet.hpp
+++ b/bench/control/src/fleet.hpp
@@ -27,6 +27,8 @@
     std::size_t domains = 4;
     std::size_t groups = 5;
     std::uint64_t seed = 1;
+    /// All hosts are registered and know each other at the start, as after a long run.
+    bool joined = false;
 };
 
 /// @brief Load by one kind of message or call.
@@ -121,6 +123,7 @@
     void schedule(core::time_point at, std::size_t host,
                   std::variant<wakeup, wire_message, core::event> what);
     void deliver(const scheduled& item);
+    void start(std::size_t host);
     void handle(std::size_t host, const core::event& value, const std::string& kind);
     void perform(std::size_t host, const core::action& value, const std::string& kind);
     void send(std::size_t host, const core::send_to_peer& message, const std::string& kind);
@@ -138,6 +141,8 @@
     fake_platform platform_;
     fake_targets targets_;
     core::service_record service_;
+    /// All hosts, for fleets that are joined at the start.
+    std::vector<core::member_update> members_;
     fleet_load load_;
 };
 
--- a/bench/control/src/main.cpp
+++ b/bench/control/src/main.cpp
@@ -14,6 +14,7 @@
 DEFINE_uint64(seed, 1, "seed of the hosts' random numbers");
 DEFINE_uint32(warm_up, 5, "simulated seconds before the measurement");
 DEFINE_uint32(measured, 20, "simulated seconds of the measurement");
+DEFINE_bool(joined, false, "all hosts know each other at the start, as after a long run");
 
 namespace lovagemoor::bench {
 
@@ -49,6 +50,7 @@
         1, static_cast<std::size_t>(static_cast<double>(options.hosts) * targets_per_host) /
                targets_per_group);
     options.seed = FLAGS_seed;
+    options.joined = FLAGS_joined;
     return options;
 }
 
@@ -173,6 +175,7 @@
     print("targets", options.groups * targets_per_group);
     print("domains", options.domains);
     print("seed", options.seed);
+    print("joined", options.joined);
     const std::uint64_t memory_before = resident_kilobytes();
     fleet hosts{options};
     hosts.run_until(hosts.now() + std::chrono::seconds{FLAGS_warm_up});
