--- a/bench/control/src/fleet.cpp
+++ b/bench/control/src/fleet.cpp
@@ -338,6 +338,7 @@
 void fleet::add_cpu(std::size_t host, const std::string& kind, std::chrono::nanoseconds since) {
     const std::chrono::nanoseconds used = process_cpu_time() - since;
     load_.cpu[host] += used;
+    load_.longest = std::max(load_.longest, used);
     load_.kinds[kind].cpu += used;
 }
 
--- a/bench/control/src/fleet.hpp
+++ b/bench/control/src/fleet.hpp
@@ -44,6 +44,8 @@
     std::vector<std::uint64_t> bytes_received;
     /// Processor time of each host's engine with its encoding and decoding.
     std::vector<std::chrono::nanoseconds> cpu;
+    /// Longest processor time of one event, during which the host handles nothing else.
+    std::chrono::nanoseconds longest{0};
     /// By the kind of message sent, or for the processor time by the event handled.
     std::map<std::string, kind_load> kinds;
     std::map<std::string, std::uint64_t> control_calls;
--- a/bench/control/src/main.cpp
+++ b/bench/control/src/main.cpp
@@ -120,6 +120,7 @@
           platform_rate(platform.records_read, load.platform_start.records_read));
     print("platform_writes_s", platform_rate(platform.writes, load.platform_start.writes));
     print("open_watches", hosts.platform().watchers().size());
+    print("longest_event_us", static_cast<double>(load.longest.count()) / 1000);
     print_kinds(load, host_seconds);
 }
 
@@ -127,10 +128,17 @@
 void print_spread(fleet& hosts, const std::string& name, core::time_point start,
                   const std::function<bool(const core::cluster_view&)>& condition) {
     hosts.holds_everywhere(condition, true);
+    hosts.reset_load();
     const core::time_point end = start + spread_limit;
     const core::time_point reached =
         hosts.run_until(end, [&] { return hosts.holds_everywhere(condition); });
     print(name + (reached < end ? "_s" : "_not_within_s"), seconds(reached - start));
+    const std::vector<std::chrono::nanoseconds>& cpu = hosts.load().cpu;
+    const std::chrono::nanoseconds used =
+        std::accumulate(cpu.begin(), cpu.end(), std::chrono::nanoseconds{0});
+    print(name + "_cpu_us_per_host",
+          static_cast<double>(used.count()) / 1000 / static_cast<double>(cpu.size()));
+    print(name + "_longest_event_us", static_cast<double>(hosts.load().longest.count()) / 1000);
 }
 
 void change_configuration(fleet& hosts) {
