Send bounded-staleness reads to a replica known to hold the session's position

An entry host knows a replica's position only from its last answer or status, up to 250 ms old, so a replica looked behind each session that had just written, and the read went to the primary.

Change: the acknowledger reports a replica that attested the position; it rides on the outcome and in the session token as a hint, and the router does not count that replica as behind. A read served by a replica names that replica. The target still checks the guard, so a wrong hint costs a retry.

Ruled out: polling the status more often, which costs control traffic in proportion and still trails each write.

--- a/packages/codec/src/request_messages.cpp
+++ b/packages/codec/src/request_messages.cpp
@@ -235,6 +235,7 @@
     shown.set_group(outcome.shown.group.value);
     shown.set_term(outcome.shown.term);
     shown.set_position(outcome.shown.position);
+    shown.set_holder(outcome.shown.holder.value);
     message.set_transaction(outcome.transaction);
     message.set_owner_incarnation(outcome.owner_incarnation);
     internal::write_observation(outcome.observation, *message.mutable_observation());
@@ -249,8 +250,10 @@
     outcome.id = message.id();
     BOOST_OUTCOME_TRY(internal::assign(outcome.result, internal::read_outcome(message.result())));
     outcome.batches = message.batches();
-    outcome.shown = core::group_position{
-        {message.shown().group()}, message.shown().term(), message.shown().position()};
+    outcome.shown = core::group_position{{message.shown().group()},
+                                         message.shown().term(),
+                                         message.shown().position(),
+                                         {message.shown().holder()}};
     outcome.transaction = message.transaction();
     outcome.owner_incarnation = message.owner_incarnation();
     BOOST_OUTCOME_TRY(internal::read_observation(message.observation(), outcome.observation));
--- a/packages/codec/test/generators.hpp
+++ b/packages/codec/test/generators.hpp
@@ -184,7 +184,7 @@
     outcome.id = any_u64();
     outcome.result = any_outcome();
     outcome.batches = any_u32();
-    outcome.shown = core::group_position{{any_text()}, any_u64(), any_u64()};
+    outcome.shown = core::group_position{{any_text()}, any_u64(), any_u64(), {any_text()}};
     outcome.transaction = any_u64();
     outcome.owner_incarnation = any_u64();
     outcome.observation = core::target_observation{{any_text()},
--- a/packages/core/include/lovagemoor/core/acknowledger.hpp
+++ b/packages/core/include/lovagemoor/core/acknowledger.hpp
@@ -42,6 +42,8 @@
 struct acknowledgement {
     std::uint64_t id = 0;
     acknowledgement_status status = acknowledgement_status::no_quorum;
+    /// A replica that attested the position; empty when none did or the position is 0.
+    target_id holder{};
 };
 
 /// @brief Collects attestations of a group's targets for writes and reads.
@@ -113,6 +115,8 @@
                                                                const pending_request& pending,
                                                                const group_record* group,
                                                                const group_state& state) const;
+    [[nodiscard]] target_id find_holder(const pending_request& pending, const group_record& group,
+                                        const group_state& state) const;
     [[nodiscard]] log_position position_needed(const acknowledgement_request& request,
                                                const target_id& target) const;
     [[nodiscard]] bool attests(const pending_request& pending, const target_id& target,
--- a/packages/core/include/lovagemoor/core/owner_service.hpp
+++ b/packages/core/include/lovagemoor/core/owner_service.hpp
@@ -187,6 +187,9 @@
     void open_begun_transaction(time_point now, owned_request& owned, action_list& actions);
     void acknowledge(time_point now, owned_request& owned, const group_position& shown,
                      action_list& actions);
+    /// @return A replica that holds the position that the request has shown, empty when unknown.
+    [[nodiscard]] target_id holder_of(const owned_request& owned,
+                                      const acknowledgement& result) const;
     void release_connection(owned_request& owned, action_list& actions);
     /// @brief Notes that the connection of a running request's transaction is gone.
     void lose_transaction_of(time_point now, const owned_request& owned);
--- a/packages/core/include/lovagemoor/core/peer_message.hpp
+++ b/packages/core/include/lovagemoor/core/peer_message.hpp
@@ -18,6 +18,8 @@
     group_id group;
     term_number term = 0;
     log_position position = 0;
+    /// A replica that held the position; a hint for routing reads, empty when none is known.
+    target_id holder{};
 
     friend bool operator==(const group_position&, const group_position&) = default;
 };
--- a/packages/core/include/lovagemoor/core/read_router.hpp
+++ b/packages/core/include/lovagemoor/core/read_router.hpp
@@ -20,6 +20,8 @@
     std::vector<target_id> excluded;
     /// Spreads reads over targets of equal cost.
     std::uint64_t salt = 0;
+    /// Replica that is known to hold the guard's position; empty when none is known.
+    target_id holder{};
 };
 
 struct read_choice {
--- a/packages/core/src/acknowledger.cpp
+++ b/packages/core/src/acknowledger.cpp
@@ -99,7 +99,11 @@
         const std::optional<acknowledgement_status> status =
             decide(now, entry->second, group, state);
         if (status.has_value()) {
-            finished_.push_back(acknowledgement{entry->first, *status});
+            const bool has_holder =
+                *status == acknowledgement_status::acknowledged && group != nullptr;
+            finished_.push_back(acknowledgement{
+                entry->first, *status,
+                has_holder ? find_holder(entry->second, *group, state) : target_id{}});
             entry = state.pending.erase(entry);
         } else {
             ++entry;
@@ -136,6 +140,23 @@
     return std::nullopt;
 }
 
+target_id acknowledger::find_holder(const pending_request& pending, const group_record& group,
+                                    const group_state& state) const {
+    const target_record* primary = view_.primary_of(pending.request.group);
+    if (pending.request.position == 0 || !pending.request.position_on_replicas) {
+        return {};
+    }
+    for (const target_record& target : group.targets) {
+        const auto found = state.targets.find(target.id);
+        const bool is_replica = primary != nullptr && primary->id != target.id;
+        if (is_replica && found != state.targets.end() &&
+            attests(pending, target.id, found->second)) {
+            return target.id;
+        }
+    }
+    return {};
+}
+
 log_position acknowledger::position_needed(const acknowledgement_request& request,
                                            const target_id& target) const {
     if (request.position_on_replicas || request.position == 0) {
--- a/packages/core/src/entry_service.cpp
+++ b/packages/core/src/entry_service.cpp
@@ -252,8 +252,9 @@
     if (!request.guard.max_age.has_value()) {
         return primary == nullptr ? std::nullopt : std::optional{primary->id};
     }
-    read_requirement requirement{request.group, request.guard, call.excluded, call.id};
     const group_position shown = position_in(call.call.session, request.group);
+    read_requirement requirement{request.group, request.guard, call.excluded, call.id,
+                                 shown.holder};
     requirement.guard.term = shown.term;
     requirement.guard.position = shown.position;
     const std::optional<read_choice> choice = select_read_target(now, view_, requirement);
--- a/packages/core/src/owner_results.cpp
+++ b/packages/core/src/owner_results.cpp
@@ -232,6 +232,13 @@
     acknowledgements_.submit(now, needed, actions);
 }
 
+target_id owner_service::holder_of(const owned_request& owned,
+                                   const acknowledgement& result) const {
+    const target_record* primary = view_.primary_of(owned.request.group);
+    const bool is_replica = primary == nullptr || primary->id != owned.request.target;
+    return is_replica ? owned.request.target : result.holder;
+}
+
 void owner_service::on_acknowledged(time_point now, const acknowledgement& result,
                                     action_list& actions) {
     const auto found = requests_.find(result.id);
@@ -241,6 +248,7 @@
     owned_request& owned = found->second;
     switch (result.status) {
     case acknowledgement_status::acknowledged:
+        owned.shown.holder = holder_of(owned, result);
         answer(now, owned, std::move(owned.pending_result), actions);
         break;
     case acknowledgement_status::superseded:
--- a/packages/core/src/read_router.cpp
+++ b/packages/core/src/read_router.cpp
@@ -69,7 +69,8 @@
                 return std::nullopt;
             }
             cost += seen.queue_wait;
-            if (!result.is_primary && is_behind(seen, requirement_.guard)) {
+            const bool holds = target.id == requirement_.holder;
+            if (!result.is_primary && !holds && is_behind(seen, requirement_.guard)) {
                 cost += std::max<duration>(min_lag_wait, seen.age);
             }
         }
--- a/packages/core/src/session_token.cpp
+++ b/packages/core/src/session_token.cpp
@@ -41,7 +41,9 @@
     }
     for (group_position& held : token.positions) {
         if (held.group == shown.group) {
-            if (std::pair{shown.term, shown.position} > std::pair{held.term, held.position}) {
+            const std::pair before{held.term, held.position};
+            const std::pair after{shown.term, shown.position};
+            if (after > before || (after == before && !shown.holder.empty())) {
                 held = shown;
             }
             return;
@@ -104,6 +106,7 @@
         entry.set_group(position.group.value);
         entry.set_term(position.term);
         entry.set_position(position.position);
+        entry.set_holder(position.holder.value);
     }
     return seal_payload(internal::session_kind, message.SerializeAsString());
 }
@@ -135,7 +138,8 @@
     }
     session_token token{service, {}, message.configuration_version()};
     for (const session::v1::GroupPosition& entry : message.positions()) {
-        merge_position(token, {group_id{entry.group()}, entry.term(), entry.position()});
+        merge_position(token, {group_id{entry.group()}, entry.term(), entry.position(),
+                               target_id{entry.holder()}});
     }
     return token;
 }
--- a/packages/core/test/read_router_test.cpp
+++ b/packages/core/test/read_router_test.cpp
@@ -107,6 +107,18 @@
     BOOST_TEST((!choice.has_value() || choice->is_primary == (test.expected == "t0")));
 }
 
+// Guards against reads that leave a replica known to hold the session's position for the primary,
+// because the replica's last observation is older than the session's write.
+BOOST_AUTO_TEST_CASE(the_holder_of_the_position_is_not_behind) {
+    cluster_view view = make_view({});
+    view.observe(now, seen("t1", 400ms, 1, 0ms));
+    view.observe(now, seen("t2", 400ms, 1, 0ms));
+    const read_requirement unknown{group, {5, 5, 1'000ms}, {}, 1};
+    BOOST_TEST(select_read_target(now, view, unknown)->target.value == "t0");
+    const read_requirement known{group, {5, 5, 1'000ms}, {}, 1, target_id{"t2"}};
+    BOOST_TEST(select_read_target(now, view, known)->target.value == "t2");
+}
+
 // Guards against a replica that is never tried again after it was too old once.
 BOOST_AUTO_TEST_CASE(old_observations_do_not_exclude) {
     cluster_view view = make_view({});
