Refuse an overloaded read at once when the retry budget is empty

Cause: at the crest, reads that accept staleness and were refused as overloaded waited for retry budget until their deadline: time to refusal p50 2.04 s. Change: without budget, or with no other target, such a call ends with the owner's refusal and its retry-after. Ruled out: a larger budget, which adds load when there is least room for it.

The new test fails on the old code.

--- a/packages/core/include/lovagemoor/core/entry_service.hpp
+++ b/packages/core/include/lovagemoor/core/entry_service.hpp
@@ -124,7 +124,7 @@
                     action_list& actions);
     void on_unknown(time_point now, pending_call& call, unknown_reason reason,
                     action_list& actions);
-    void retry(time_point now, pending_call& call, refusal_reason reason, action_list& actions);
+    void retry(time_point now, pending_call& call, const refused& refusal, action_list& actions);
     void give_up_attempt(pending_call& call, bool cancel, action_list& actions);
 
     // Answers.
--- a/packages/core/src/entry_results.cpp
+++ b/packages/core/src/entry_results.cpp
@@ -211,7 +211,7 @@
                              (refusal.reason == refusal_reason::overloaded && has_other_targets &&
                               call.excluded.empty()));
     if (is_retried && !call.rows_passed) {
-        retry(now, call, refusal.reason, actions);
+        retry(now, call, refusal, actions);
     } else if (call.rows_passed) {
         // The rows show that the statement ran.
         finish(now, call, outcome_unknown{unknown_reason::connection_lost}, {}, actions);
@@ -232,13 +232,13 @@
         return;
     }
     call.uncertain = reason;
-    retry(now, call, refusal_reason::stale_view, actions);
+    retry(now, call, refused{refusal_reason::stale_view, {}, {}, {}}, actions);
 }
 
-void entry_service::retry(time_point now, pending_call& call, refusal_reason reason,
+void entry_service::retry(time_point now, pending_call& call, const refused& refusal,
                           action_list& actions) {
     call.rows = {};
-    call.parked_for = refused{reason, {}, {}, {}};
+    call.parked_for = refusal;
     if (call.call.request.guard.max_age.has_value()) {
         call.excluded.push_back(call.last_route.target);
     }
--- a/packages/core/src/entry_service.cpp
+++ b/packages/core/src/entry_service.cpp
@@ -288,6 +288,10 @@
     }
     const refusal_reason reason = call.parked_for.reason;
     if (cause == trigger::refusal && chosen == call.last_route) {
+        if (reason == refusal_reason::overloaded) {
+            finish(now, call, call.parked_for, {}, actions);
+            return false;
+        }
         park(now, call, reason, internal::retry_pause(call.attempts), actions);
         return false;
     }
@@ -302,6 +306,11 @@
         return true;
     }
     if (!budget_.try_retry()) {
+        if (reason == refusal_reason::overloaded) {
+            // Waiting for budget under overload would end at the deadline with the same refusal.
+            finish(now, call, call.parked_for, {}, actions);
+            return false;
+        }
         park(now, call, reason, internal::budget_pause, actions);
         return false;
     }
--- a/packages/core/test/entry_service_test.cpp
+++ b/packages/core/test/entry_service_test.cpp
@@ -337,6 +337,20 @@
     BOOST_TEST((groups == std::vector<group_id>(groups.size(), test_group)));
 }
 
+// Guards against an overloaded read that waits for retry budget until its deadline.
+BOOST_AUTO_TEST_CASE(overload_without_budget_is_refused_at_once) {
+    request_path path;
+    path.settings.max_queue_per_target = 0;
+    execute_request request = make_execute(access_mode::read);
+    request.max_staleness = 500ms;
+    // More than the budget's burst, so that the last calls find it empty.
+    for (int count = 0; count < 200; ++count) {
+        const request_id refused_read = path.call(request);
+        path.pass(1ms);
+        BOOST_REQUIRE(path.summary(refused_read) == "refused/overloaded");
+    }
+}
+
 // Guards against reads that give up while a replica catches up, retries beyond the budget, and
 // asking a replica again that was just too old.
 BOOST_AUTO_TEST_CASE(reads_wait_for_replicas_within_the_budget) {
