Admit a request only with twice the expected wait before its deadline

Change: the expected wait counts twice in admission. The table test of admission computes its bound with the same constant; its expectations are as strict.

--- a/packages/core/include/lovagemoor/core/admission.hpp
+++ b/packages/core/include/lovagemoor/core/admission.hpp
@@ -12,6 +12,11 @@
 
 inline constexpr std::size_t urgency_count = 3;
 
+/// @brief A request is admitted only if it would meet its deadline after this multiple of the
+/// expected wait. More urgent requests that arrive later lengthen the wait, and a request that is
+/// admitted in vain is refused only at its deadline.
+inline constexpr int admission_wait_margin = 2;
+
 /// @brief Waiting and running requests of a target per urgency, most urgent first.
 struct target_backlog {
     std::array<std::size_t, urgency_count> queued{};
--- a/packages/core/src/admission.cpp
+++ b/packages/core/src/admission.cpp
@@ -63,7 +63,7 @@
 std::optional<duration> admission::refuse(urgency priority, duration remaining,
                                           const target_backlog& backlog) const noexcept {
     const duration wait = expected_wait(priority, backlog);
-    const duration finish = wait + service_time(priority);
+    const duration finish = admission_wait_margin * wait + service_time(priority);
     if (wait == duration{0} || finish <= remaining) {
         return std::nullopt;
     }
--- a/packages/core/test/request_measures_test.cpp
+++ b/packages/core/test/request_measures_test.cpp
@@ -61,7 +61,7 @@
 BOOST_DATA_TEST_CASE(wait_follows_the_backlog, boost::unit_test::data::make(loads), test) {
     const admission measures = measured();
     const duration wait = measures.expected_wait(test.priority, test.backlog);
-    const duration needed = wait + measures.service_time(test.priority);
+    const duration needed = admission_wait_margin * wait + measures.service_time(test.priority);
     BOOST_TEST(wait.count() == duration{test.expected}.count());
     BOOST_TEST(!measures.refuse(test.priority, needed, test.backlog).has_value());
     const std::optional<duration> late = measures.refuse(test.priority, needed - 1ms, test.backlog);
