--- a/packages/core/test/session_token_test.cpp
+++ b/packages/core/test/session_token_test.cpp
@@ -9,13 +9,15 @@
 #include <rapidcheck.h>
 
 #include <ostream>
+#include <random>
 
 namespace lovagemoor::core {
 
 namespace {
 
 const service_id service{"orders"};
-const session_token token{service, {{group_id{"g"}, 4, 17}, {group_id{"h"}, 2, 3}}, 9};
+const session_token token{
+    service, {{group_id{"g"}, 4, 17, target_id{"t1"}}, {group_id{"h"}, 2, 3}}, 9};
 const transaction_handle handle{host_id{"h"}, 3, service, group_id{"g"}, target_id{"t"}, 4, 77};
 
 std::string flipped(std::string text, std::size_t index) {
@@ -106,6 +108,23 @@
     BOOST_TEST(holds);
 }
 
+// Guards against a changed token that is accepted, and against bytes that the decoder cannot take.
+BOOST_AUTO_TEST_CASE(mutated_tokens_are_refused) {
+    constexpr int mutations = 20'000;
+    std::mt19937_64 random{20261204};
+    for (int count = 0; count < mutations; ++count) {
+        std::string mutated = sealed_token;
+        for (std::uint64_t changes = random() % 4 + 1; changes > 0; --changes) {
+            mutated.at(random() % mutated.size()) = static_cast<char>(random());
+        }
+        mutated.resize(random() % 8 == 0 ? random() % mutated.size() : mutated.size());
+        if (mutated != sealed_token) {
+            BOOST_REQUIRE(!sealer.open_session(mutated, service).has_value());
+            BOOST_REQUIRE(!sealer.open_transaction(mutated).has_value());
+        }
+    }
+}
+
 // Guards against a key that accepts another request as a repeat.
 BOOST_DATA_TEST_CASE(similar_requests_differ, boost::unit_test::data::make(similar_requests),
                      pair) {
