--- a/packages/core/src/engine.cpp
+++ b/packages/core/src/engine.cpp
@@ -1,5 +1,7 @@
 #include <lovagemoor/core/engine.hpp>
 
+#include <lovagemoor/core/overloaded.hpp>
+
 #include <algorithm>
 #include <map>
 #include <utility>
@@ -94,7 +96,7 @@
 }
 
 void engine::dispatch(time_point now, const event& value, action_list& actions) {
-    const internal::overloaded handlers{
+    const overloaded handlers{
         [&](const caller_called& called) { entry_.on_caller(now, called, actions); },
         [&](const caller_cancelled& cancelled) { entry_.on_cancelled(now, cancelled, actions); },
         [&](const peer_received& received) { handle_peer(now, received, actions); },
@@ -116,7 +118,7 @@
 
 void engine::handle_peer(time_point now, const peer_received& received, action_list& actions) {
     const host_id& from = received.from;
-    const internal::overloaded handlers{
+    const overloaded handlers{
         [&](const forward_request& request) { owner_.submit(now, from, request, actions); },
         [&](const forward_rows& rows) { entry_.on_rows(now, from, rows, actions); },
         [&](const forward_outcome& result) { entry_.on_outcome(now, from, result, actions); },
@@ -148,7 +150,7 @@
     const auto answer = [&](operator_result result) {
         actions.emplace_back(answer_operator{called.id, std::move(result)});
     };
-    const internal::overloaded handlers{
+    const overloaded handlers{
         [&](const change_configuration& change) {
             changer_.submit(now, called.id, change, actions);
         },
--- a/programs/lovagemoord/src/host_process.cpp
+++ b/programs/lovagemoord/src/host_process.cpp
@@ -1,6 +1,7 @@
 #include "host_process.hpp"
 
 #include <lovagemoor/core/membership.hpp>
+#include <lovagemoor/core/overloaded.hpp>
 
 #include <chrono>
 #include <functional>
@@ -137,7 +138,7 @@
 }
 
 void host_process::perform(const core::action& value) {
-    const internal::overloaded handlers{
+    const core::overloaded handlers{
         [this](const core::send_rows_to_caller& action) { callers_.perform(action); },
         [this](const core::answer_caller& action) { callers_.perform(action); },
         [this](const core::send_to_peer& action) { peers_.perform(action); },
