--- a/packages/core/src/engine.cpp
+++ b/packages/core/src/engine.cpp
@@ -11,14 +11,6 @@
 
 namespace internal {
 
-template <typename... Handlers>
-struct overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-
-template <typename... Handlers>
-overloaded(Handlers...) -> overloaded<Handlers...>;
-
 /// A leaving host stays for this many ping intervals after its last request, so that other hosts
 /// learn that it owns nothing before its socket closes.
 constexpr int handover_intervals = 4;
--- a/programs/lovagemoord/src/host_process.cpp
+++ b/programs/lovagemoord/src/host_process.cpp
@@ -14,14 +14,6 @@
 
 namespace internal {
 
-template <typename... Handlers>
-struct overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-
-template <typename... Handlers>
-overloaded(Handlers...) -> overloaded<Handlers...>;
-
 /// How long a stopping host waits until callers have read their last answers.
 constexpr std::chrono::seconds delivery_limit{5};
 
