--- a/packages/core/include/lovagemoor/core/action.hpp
+++ b/packages/core/include/lovagemoor/core/action.hpp
@@ -5,6 +5,7 @@
 #include <lovagemoor/core/peer_message.hpp>
 #include <lovagemoor/core/platform_call.hpp>
 #include <lovagemoor/core/target_job.hpp>
+#include <lovagemoor/core/telemetry_event.hpp>
 
 #include <string>
 #include <utility>
@@ -74,28 +75,6 @@
     operator_result result;
 };
 
-/// @brief One log line; names and values are printed as key=value pairs.
-struct log_event {
-    enum class level : std::uint8_t { debug, info, warning, error };
-    level severity = level::info;
-    std::string name;
-    std::vector<std::pair<std::string, std::string>> fields;
-};
-
-/// @brief Adds to a counter of the host's metrics.
-struct count_metric {
-    std::string name;
-    std::vector<std::pair<std::string, std::string>> labels;
-    double value = 1;
-};
-
-/// @brief Observes a duration in a histogram of the host's metrics.
-struct observe_duration {
-    std::string name;
-    std::vector<std::pair<std::string, std::string>> labels;
-    duration value{0};
-};
-
 /// @brief All requests are finished and ownership is handed over; the process may exit.
 struct stop_process {};
 
--- /dev/null
+++ b/packages/gateway/include/lovagemoor/gateway/caller_listener.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <lovagemoor/gateway/line_stream.hpp>
+#include <lovagemoor/gateway/statement_codec.hpp>
+#include <lovagemoor/proxy/engine/action.hpp>
+#include <lovagemoor/proxy/session/statement_result.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace lovagemoor::gateway {
+
+/// @brief Accepts callers and translates between their lines and the engine's events.
+class caller_listener {
+public:
+    using event_sink = std::function<void(proxy::event)>;
+
+    /// @param address ip:port
+    /// @param max_sessions Callers beyond this are closed at once.
+    /// @throws boost::system::system_error when the address is in use.
+    caller_listener(boost::asio::io_context& context, const std::string& address,
+                    std::size_t max_sessions, statement_codec codec, event_sink sink);
+
+    void perform(const proxy::accept_session& action);
+    void perform(const proxy::answer_statement& action);
+    void perform(const proxy::close_session& action);
+
+    /// @brief Sends what perform() has written.
+    void flush();
+
+    [[nodiscard]] std::size_t sessions() const noexcept { return streams_.size(); }
+
+private:
+    void accept();
+    void add(boost::asio::ip::tcp::socket socket);
+    void on_line(proxy::session_id session, std::string_view line);
+    void reject(proxy::session_id session, proxy::statement_error error);
+    [[nodiscard]] std::string& output_of(proxy::session_id session);
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::size_t max_sessions_;
+    statement_codec codec_;
+    event_sink sink_;
+    proxy::session_id last_session_ = 0;
+    struct caller {
+        std::shared_ptr<line_stream> stream;
+        bool started = false;
+    };
+    std::map<proxy::session_id, caller> streams_;
+    std::set<proxy::session_id> unflushed_;
+    std::string discarded_;
+};
+
+} // namespace lovagemoor::gateway
--- /dev/null
+++ b/packages/gateway/include/lovagemoor/gateway/statement_codec.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <lovagemoor/proxy/engine/action.hpp>
+#include <lovagemoor/proxy/session/statement.hpp>
+#include <lovagemoor/proxy/target/target_command.hpp>
+#include <lovagemoor/proxy/target/target_reply.hpp>
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace lovagemoor::gateway {
+
+/// @name What a caller's line says
+/// @{
+struct caller_start {
+    std::string database;
+};
+
+struct caller_end {};
+
+struct malformed_line {
+    std::string reason;
+};
+
+using caller_line = std::variant<caller_start, proxy::statement, caller_end, malformed_line>;
+/// @}
+
+/// @brief Collects a target's lines until a reply is complete.
+struct reply_assembly {
+    proxy::target_reply reply;
+    /// The reply has its result and waits for its end.
+    bool answered = false;
+};
+
+enum class reply_progress : std::uint8_t { incomplete, complete, malformed };
+
+/// @brief The statement protocol: how lines are read and written.
+struct statement_codec {
+    std::function<caller_line(std::string_view line)> decode_caller;
+    /// @brief Tells a caller that its session has begun.
+    std::function<void(std::string& output)> encode_greeting;
+    std::function<void(const proxy::statement_result& result, std::string& output)> encode_result;
+    /// @brief Opens a session at a target; the host's name tells the target who connects.
+    std::function<void(const proxy::open_target& request, const std::string& host,
+                       std::string& output)>
+        encode_start;
+    std::function<void(const proxy::target_command& command, std::string& output)> encode_command;
+    std::function<reply_progress(std::string_view line, reply_assembly& assembly)> decode_target;
+};
+
+} // namespace lovagemoor::gateway
--- /dev/null
+++ b/packages/gateway/src/caller_listener.cpp
@@ -0,0 +1,127 @@
+#include <lovagemoor/gateway/caller_listener.hpp>
+
+#include "address.hpp"
+
+#include <lovagemoor/core/overloaded.hpp>
+
+#include <utility>
+
+namespace lovagemoor::gateway {
+
+caller_listener::caller_listener(boost::asio::io_context& context, const std::string& address,
+                                 std::size_t max_sessions, statement_codec codec, event_sink sink)
+    : acceptor_{context, internal::parse_endpoint(address)},
+      max_sessions_{max_sessions},
+      codec_{std::move(codec)},
+      sink_{std::move(sink)} {
+    accept();
+}
+
+void caller_listener::accept() {
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
+            if (error == boost::asio::error::operation_aborted) {
+                return;
+            }
+            if (!error && streams_.size() < max_sessions_) {
+                add(std::move(socket));
+            }
+            accept();
+        });
+}
+
+void caller_listener::add(boost::asio::ip::tcp::socket socket) {
+    configure_socket(socket);
+    const proxy::session_id session = ++last_session_;
+    const std::shared_ptr<line_stream> stream = std::make_shared<line_stream>(std::move(socket));
+    streams_[session] = caller{stream, false};
+    stream->start([this, session](std::string_view line) { on_line(session, line); },
+                  [this, session](stream_end /*reason*/) {
+                      streams_.erase(session);
+                      sink_(proxy::session_closed{session});
+                  });
+}
+
+void caller_listener::on_line(proxy::session_id session, std::string_view line) {
+    const auto found = streams_.find(session);
+    if (found == streams_.end()) {
+        return;
+    }
+    caller& sender = found->second;
+    caller_line decoded = codec_.decode_caller(line);
+    std::visit(core::overloaded{
+                   [&](caller_start& start) {
+                       if (std::exchange(sender.started, true)) {
+                           reject(session, {proxy::statement_error_kind::malformed,
+                                            "the session has begun", std::nullopt});
+                           return;
+                       }
+                       sink_(proxy::session_opened{session, std::move(start.database)});
+                   },
+                   [&](proxy::statement& statement) {
+                       if (!sender.started) {
+                           reject(session, {proxy::statement_error_kind::malformed,
+                                            "the session has not begun", std::nullopt});
+                           return;
+                       }
+                       sink_(proxy::statement_received{session, std::move(statement)});
+                   },
+                   [&](caller_end& /*end*/) {
+                       sender.stream->abort();
+                       streams_.erase(session);
+                       sink_(proxy::session_closed{session});
+                   },
+                   [&](malformed_line& malformed) {
+                       reject(session, {proxy::statement_error_kind::malformed, malformed.reason,
+                                        std::nullopt});
+                   },
+               },
+               decoded);
+}
+
+void caller_listener::reject(proxy::session_id session, proxy::statement_error error) {
+    proxy::statement_result result;
+    result.error = std::move(error);
+    perform(proxy::answer_statement{session, std::move(result)});
+    perform(proxy::close_session{session});
+    sink_(proxy::session_closed{session});
+}
+
+std::string& caller_listener::output_of(proxy::session_id session) {
+    const auto found = streams_.find(session);
+    if (found == streams_.end()) {
+        discarded_.clear();
+        return discarded_;
+    }
+    unflushed_.insert(session);
+    return found->second.stream->output();
+}
+
+void caller_listener::perform(const proxy::accept_session& action) {
+    codec_.encode_greeting(output_of(action.session));
+}
+
+void caller_listener::perform(const proxy::answer_statement& action) {
+    codec_.encode_result(action.result, output_of(action.session));
+}
+
+void caller_listener::perform(const proxy::close_session& action) {
+    const auto found = streams_.find(action.session);
+    if (found != streams_.end()) {
+        const std::shared_ptr<line_stream> stream = found->second.stream;
+        streams_.erase(found);
+        unflushed_.erase(action.session);
+        stream->close();
+    }
+}
+
+void caller_listener::flush() {
+    for (const proxy::session_id session : std::exchange(unflushed_, {})) {
+        const auto found = streams_.find(session);
+        if (found != streams_.end()) {
+            found->second.stream->flush();
+        }
+    }
+}
+
+} // namespace lovagemoor::gateway
--- /dev/null
+++ b/packages/gateway/src/http_client.cpp
@@ -0,0 +1,137 @@
+#include <lovagemoor/gateway/http_client.hpp>
+
+#include "address.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace lovagemoor::gateway {
+
+namespace http = boost::beast::http;
+
+namespace internal {
+
+namespace {
+
+/// Longest response body: a page of the registry with its encoding.
+constexpr std::uint64_t max_body = 8U << 20U;
+
+} // namespace
+
+} // namespace internal
+
+/// @brief One connection with at most one request under way.
+class http_client::connection : public std::enable_shared_from_this<connection> {
+public:
+    connection(http_client& owner, boost::asio::io_context& context)
+        : owner_{owner}, stream_{context} {}
+
+    void run(http_request request, handler done) {
+        done_ = std::move(done);
+        message_ = {};
+        message_.version(11);
+        message_.method(request.method);
+        message_.target(request.target);
+        message_.set(http::field::host, owner_.address_);
+        for (const auto& [name, value] : request.headers) {
+            message_.set(name, value);
+        }
+        if (!request.body.empty()) {
+            message_.set(http::field::content_type, "application/json");
+        }
+        message_.body() = std::move(request.body);
+        message_.prepare_payload();
+        timeout_ = request.timeout;
+        stream_.expires_after(timeout_);
+        if (connected_) {
+            write();
+            return;
+        }
+        stream_.async_connect(
+            internal::parse_endpoint(owner_.address_),
+            [self = shared_from_this()](const boost::system::error_code& error) {
+                if (error) {
+                    self->finish(http_response{http_failure::not_connected, 0, error.message()});
+                    return;
+                }
+                self->connected_ = true;
+                self->write();
+            });
+    }
+
+private:
+    void write() {
+        http::async_write(
+            stream_, message_,
+            [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+                if (error) {
+                    self->finish(http_response{http_failure::no_response, 0, error.message()});
+                    return;
+                }
+                self->read();
+            });
+    }
+
+    void read() {
+        parser_.emplace();
+        parser_->body_limit(internal::max_body);
+        http::async_read(
+            stream_, buffer_, *parser_,
+            [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+                if (error) {
+                    self->finish(http_response{http_failure::no_response, 0, error.message()});
+                    return;
+                }
+                self->reusable_ = self->parser_->get().keep_alive();
+                self->finish(http_response{http_failure::none, self->parser_->get().result_int(),
+                                           std::move(self->parser_->get().body())});
+            });
+    }
+
+    void finish(const http_response& response) {
+        stream_.expires_never();
+        parser_.reset();
+        const handler done = std::exchange(done_, nullptr);
+        if (response.failure == http_failure::none && reusable_) {
+            owner_.idle_.push_back(shared_from_this());
+        } else {
+            stream_.close();
+        }
+        done(response);
+    }
+
+    http_client& owner_;
+    boost::beast::tcp_stream stream_;
+    boost::beast::flat_buffer buffer_;
+    http::request<http::string_body> message_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    std::chrono::milliseconds timeout_{0};
+    handler done_;
+    bool connected_ = false;
+    bool reusable_ = false;
+};
+
+http_client::http_client(boost::asio::io_context& context, std::string address)
+    : context_{context}, address_{std::move(address)} {}
+
+void http_client::call(http_request request, handler done) {
+    std::shared_ptr<connection> chosen;
+    if (idle_.empty()) {
+        chosen = std::make_shared<connection>(*this, context_);
+    } else {
+        chosen = std::move(idle_.back());
+        idle_.pop_back();
+    }
+    chosen->run(std::move(request), std::move(done));
+}
+
+} // namespace lovagemoor::gateway
--- /dev/null
+++ b/packages/gateway/src/http_server.cpp
@@ -0,0 +1,99 @@
+#include <lovagemoor/gateway/http_server.hpp>
+
+#include "address.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace lovagemoor::gateway {
+
+namespace http = boost::beast::http;
+
+namespace internal {
+
+namespace {
+
+/// Longest time that a connection may stay without a request.
+constexpr std::chrono::seconds idle_timeout{30};
+
+/// @brief One connection, request by request.
+class server_connection : public std::enable_shared_from_this<server_connection> {
+public:
+    server_connection(boost::asio::ip::tcp::socket socket, http_server::handler answer_path)
+        : stream_{std::move(socket)}, answer_path_{std::move(answer_path)} {}
+
+    void read() {
+        parser_.emplace();
+        stream_.expires_after(idle_timeout);
+        http::async_read(
+            stream_, buffer_, *parser_,
+            [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+                if (!error) {
+                    self->write();
+                }
+            });
+    }
+
+private:
+    void write() {
+        const http::request<http::string_body>& request = parser_->get();
+        const http_server::answer given = answer_path_(std::string{request.target()});
+        response_ = {};
+        response_.version(request.version());
+        response_.result(given.status);
+        response_.set(http::field::content_type, given.content_type);
+        response_.keep_alive(request.keep_alive());
+        response_.body() = given.body;
+        response_.prepare_payload();
+        http::async_write(
+            stream_, response_,
+            [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+                if (!error && self->response_.keep_alive()) {
+                    self->read();
+                }
+            });
+    }
+
+    boost::beast::tcp_stream stream_;
+    http_server::handler answer_path_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    http::response<http::string_body> response_;
+};
+
+} // namespace
+
+} // namespace internal
+
+http_server::http_server(boost::asio::io_context& context, const std::string& address,
+                         handler answer_path)
+    : acceptor_{context, internal::parse_endpoint(address)}, answer_path_{std::move(answer_path)} {
+    accept();
+}
+
+void http_server::accept() {
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
+            if (error == boost::asio::error::operation_aborted) {
+                return;
+            }
+            if (!error) {
+                std::make_shared<internal::server_connection>(std::move(socket), answer_path_)
+                    ->read();
+            }
+            accept();
+        });
+}
+
+} // namespace lovagemoor::gateway
--- /dev/null
+++ b/packages/gateway/src/line_stream.cpp
@@ -0,0 +1,178 @@
+#include <lovagemoor/gateway/line_stream.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+
+namespace lovagemoor::gateway {
+
+namespace internal {
+
+namespace {
+
+/// Keep-alive probes find a peer that went silent within about three seconds.
+constexpr int keepalive_idle_seconds = 1;
+constexpr int keepalive_interval_seconds = 1;
+constexpr int keepalive_count = 2;
+/// Longest time that sent bytes may stay unacknowledged.
+constexpr unsigned user_timeout_ms = 2500;
+
+constexpr std::size_t read_size = 32U * 1024U;
+
+} // namespace
+
+} // namespace internal
+
+void configure_socket(boost::asio::ip::tcp::socket& socket) {
+    boost::system::error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.set_option(boost::asio::ip::tcp::no_delay{true}, ignored);
+    socket.set_option(boost::asio::socket_base::keep_alive{true}, ignored);
+    const int handle = socket.native_handle();
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &internal::keepalive_idle_seconds, sizeof(int));
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &internal::keepalive_interval_seconds,
+                 sizeof(int));
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &internal::keepalive_count, sizeof(int));
+    ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &internal::user_timeout_ms,
+                 sizeof(unsigned));
+}
+
+line_stream::line_stream(boost::asio::ip::tcp::socket socket) : socket_{std::move(socket)} {}
+
+void line_stream::start(line_handler on_line, end_handler on_end) {
+    on_line_ = std::move(on_line);
+    on_end_ = std::move(on_end);
+    wait_readable();
+}
+
+void line_stream::wait_readable() {
+    socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this()](const boost::system::error_code& error) {
+                           if (!error && !self->ended_) {
+                               self->read_available();
+                           }
+                       });
+}
+
+void line_stream::read_available() {
+    static thread_local std::array<char, internal::read_size> buffer;
+    for (;;) {
+        boost::system::error_code error;
+        const std::size_t received = socket_.read_some(boost::asio::buffer(buffer), error);
+        if (error == boost::asio::error::would_block) {
+            break;
+        }
+        if (error) {
+            end(stream_end::closed);
+            return;
+        }
+        if (!deliver_lines(std::string_view{buffer.data(), received}) || ended_) {
+            return;
+        }
+        if (received < buffer.size()) {
+            break;
+        }
+    }
+    wait_readable();
+}
+
+bool line_stream::deliver_lines(std::string_view bytes) {
+    while (!bytes.empty() && !ended_ && !closing_) {
+        const std::size_t line_end = bytes.find('\n');
+        if (line_end == std::string_view::npos) {
+            partial_ += bytes;
+            break;
+        }
+        std::string_view line = bytes.substr(0, line_end);
+        bytes.remove_prefix(line_end + 1);
+        std::string joined;
+        if (!partial_.empty()) {
+            joined = std::exchange(partial_, {});
+            joined += line;
+            line = joined;
+        }
+        if (line.size() > max_line) {
+            end(stream_end::too_large);
+            return false;
+        }
+        if (!line.empty() && line.back() == '\r') {
+            line.remove_suffix(1);
+        }
+        on_line_(line);
+    }
+    if (partial_.size() > max_line) {
+        end(stream_end::too_large);
+        return false;
+    }
+    return true;
+}
+
+void line_stream::flush() {
+    if (ended_ || writing_) {
+        return;
+    }
+    std::size_t sent = 0;
+    while (sent < output_.size()) {
+        boost::system::error_code error;
+        sent += socket_.write_some(
+            boost::asio::buffer(output_.data() + sent, output_.size() - sent), error);
+        if (error == boost::asio::error::would_block) {
+            break;
+        }
+        if (error) {
+            // The reading side reports the end, so that this call does not reenter its caller.
+            output_.clear();
+            socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, error);
+            return;
+        }
+    }
+    output_.erase(0, sent);
+    if (!output_.empty()) {
+        wait_writable();
+    } else if (closing_) {
+        abort();
+    } else if (output_.capacity() > internal::read_size) {
+        output_.shrink_to_fit();
+    }
+}
+
+void line_stream::wait_writable() {
+    if (output_.size() > max_unsent) {
+        boost::system::error_code ignored;
+        output_.clear();
+        socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+        return;
+    }
+    writing_ = true;
+    socket_.async_wait(boost::asio::ip::tcp::socket::wait_write,
+                       [self = shared_from_this()](const boost::system::error_code& error) {
+                           self->writing_ = false;
+                           if (!error && !self->ended_) {
+                               self->flush();
+                           }
+                       });
+}
+
+void line_stream::close() {
+    closing_ = true;
+    flush();
+}
+
+void line_stream::abort() {
+    ended_ = true;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+void line_stream::end(stream_end reason) {
+    if (ended_) {
+        return;
+    }
+    abort();
+    on_end_(reason);
+}
+
+} // namespace lovagemoor::gateway
--- /dev/null
+++ b/packages/gateway/src/target_links.cpp
@@ -0,0 +1,156 @@
+#include <lovagemoor/gateway/target_links.hpp>
+
+#include "address.hpp"
+
+#include <utility>
+
+namespace lovagemoor::gateway {
+
+namespace internal {
+
+namespace {
+
+proxy::target_close_reason close_reason(const proxy::statement_error& error) noexcept {
+    switch (error.kind) {
+    case proxy::statement_error_kind::connection_limit:
+        return proxy::target_close_reason::connection_limit;
+    case proxy::statement_error_kind::wrong_target:
+        return proxy::target_close_reason::wrong_target;
+    default:
+        return proxy::target_close_reason::refused;
+    }
+}
+
+} // namespace
+
+} // namespace internal
+
+target_links::target_links(boost::asio::io_context& context, std::string host,
+                           statement_codec codec, event_sink sink)
+    : context_{context},
+      host_{std::move(host)},
+      codec_{std::move(codec)},
+      sink_{std::move(sink)} {}
+
+void target_links::perform(const proxy::open_target& action) {
+    link& opened = links_[action.connection];
+    opened.socket = std::make_shared<boost::asio::ip::tcp::socket>(context_);
+    opened.timer = std::make_shared<boost::asio::steady_timer>(context_, action.timeout);
+    opened.timer->async_wait(
+        [this, id = action.connection](const boost::system::error_code& error) {
+            const auto found = links_.find(id);
+            if (!error && found != links_.end() && !found->second.started) {
+                end(id, proxy::target_close_reason::timed_out);
+            }
+        });
+    boost::system::error_code invalid;
+    boost::asio::ip::tcp::endpoint endpoint;
+    try {
+        endpoint = internal::parse_endpoint(action.address);
+    } catch (const boost::system::system_error& error) {
+        invalid = error.code();
+    }
+    opened.socket->async_connect(
+        endpoint, [this, action, keep = opened.socket](const boost::system::error_code& error) {
+            if (!links_.contains(action.connection)) {
+                return;
+            }
+            if (error) {
+                end(action.connection, proxy::target_close_reason::refused);
+                return;
+            }
+            on_connected(action);
+        });
+}
+
+void target_links::on_connected(const proxy::open_target& request) {
+    const core::connection_id id = request.connection;
+    link& opened = links_.at(id);
+    configure_socket(*opened.socket);
+    opened.stream = std::make_shared<line_stream>(std::move(*opened.socket));
+    opened.socket.reset();
+    opened.stream->start([this, id](std::string_view line) { on_line(id, line); },
+                         [this, id](stream_end /*reason*/) {
+                             end(id, proxy::target_close_reason::closed);
+                         });
+    codec_.encode_start(request, host_, opened.stream->output());
+    opened.stream->flush();
+}
+
+void target_links::on_line(core::connection_id id, std::string_view line) {
+    const auto found = links_.find(id);
+    if (found == links_.end()) {
+        return;
+    }
+    link& source = found->second;
+    switch (codec_.decode_target(line, source.assembly)) {
+    case reply_progress::incomplete:
+        if (!source.started && source.assembly.reply.result.error.has_value()) {
+            end(id, internal::close_reason(*source.assembly.reply.result.error));
+        }
+        return;
+    case reply_progress::malformed:
+        end(id, proxy::target_close_reason::malformed);
+        return;
+    case reply_progress::complete:
+        break;
+    }
+    proxy::target_reply reply = std::exchange(source.assembly, {}).reply;
+    if (!source.started) {
+        on_started(id, reply.result);
+        return;
+    }
+    sink_(proxy::target_replied{id, std::move(reply)});
+}
+
+void target_links::on_started(core::connection_id id, const proxy::statement_result& result) {
+    link& opened = links_.at(id);
+    opened.started = true;
+    opened.timer->cancel();
+    opened.timer.reset();
+    sink_(proxy::target_connected{id, result.point});
+}
+
+void target_links::perform(const proxy::send_commands& action) {
+    const auto found = links_.find(action.connection);
+    if (found == links_.end() || found->second.stream == nullptr) {
+        return;
+    }
+    for (const proxy::target_command& command : action.commands) {
+        codec_.encode_command(command, found->second.stream->output());
+    }
+    unflushed_.insert(action.connection);
+}
+
+void target_links::perform(const proxy::close_target& action) {
+    const auto found = links_.find(action.connection);
+    if (found == links_.end()) {
+        return;
+    }
+    if (found->second.stream != nullptr) {
+        found->second.stream->abort();
+    } else if (found->second.socket != nullptr) {
+        boost::system::error_code ignored;
+        found->second.socket->close(ignored);
+    }
+    if (found->second.timer != nullptr) {
+        found->second.timer->cancel();
+    }
+    links_.erase(found);
+}
+
+void target_links::end(core::connection_id id, proxy::target_close_reason reason) {
+    perform(proxy::close_target{id});
+    sink_(proxy::target_disconnected{id, reason});
+}
+
+void target_links::flush() {
+    for (const core::connection_id id : std::exchange(unflushed_, {})) {
+        const auto found = links_.find(id);
+        if (found != links_.end()) {
+            found->second.stream->flush();
+        }
+    }
+}
+
+} // namespace lovagemoor::gateway
--- /dev/null
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -0,0 +1,168 @@
+#pragma once
+
+#include <lovagemoor/core/id_source.hpp>
+#include <lovagemoor/core/time.hpp>
+#include <lovagemoor/proxy/engine/action.hpp>
+#include <lovagemoor/proxy/engine/engine_settings.hpp>
+#include <lovagemoor/proxy/engine/event.hpp>
+#include <lovagemoor/proxy/pool/target_pool.hpp>
+#include <lovagemoor/proxy/promotion/promoter.hpp>
+#include <lovagemoor/proxy/routing/primary_checks.hpp>
+#include <lovagemoor/proxy/routing/primary_view.hpp>
+#include <lovagemoor/proxy/session/session.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lovagemoor::proxy {
+
+/// @brief Serves callers' sessions over shared connections to targets.
+///
+/// Pure: events and time in, actions out. It never reads a clock and has no randomness.
+class engine {
+public:
+    explicit engine(engine_settings settings);
+
+    /// @param now From a clock that also counts while the machine is suspended.
+    [[nodiscard]] action_list handle(core::time_point now, const event& input);
+
+    /// @return When handle() is to be called with timer_expired.
+    [[nodiscard]] core::time_point next_wakeup() const;
+
+private:
+    /// @brief What the engine knows of a service.
+    struct service_state {
+        primary_view view;
+        primary_checks checks;
+        /// Last reply of the primary.
+        core::time_point primary_contact;
+        /// Since when the primary has failed without a reply in between.
+        std::optional<core::time_point> failing_since;
+        core::time_point last_use;
+        core::time_point last_probe;
+        /// Sessions that wait, by priority and arrival.
+        std::vector<session_id> waiting;
+        bool suspicion_published = false;
+    };
+
+    // Dispatch of events, engine.cpp
+    void on(const session_opened& input);
+    void on(const statement_received& input);
+    void on(const session_closed& input);
+    void on(const target_connected& input);
+    void on(const target_replied& input);
+    void on(const target_disconnected& input);
+    void on(const configuration_changed& input);
+    void on(const targets_listed& input);
+    void on(const target_changed& input);
+    void on(const target_removed& input);
+    void on(const hosts_listed& input);
+    void on(const host_joined& input);
+    void on(const host_left& input);
+    void on(const suspicion_reported& input);
+    void on(const suspicion_withdrawn& input);
+    void on(const duty_claimed& input);
+    void on(const duty_released& input);
+    void on(const promotion_answered& input);
+    void on(const stop_requested& input);
+    void on(const timer_expired& input);
+
+    // Sessions, engine_sessions.cpp
+    void start_statement(session& caller, const statement& work);
+    void start_backlog(session_id id);
+    bool answer_locally(session& caller, const statement& work);
+    void begin_transaction(session& caller, const statement& work);
+    void roll_back(session& caller);
+    void detach_transaction(session& caller);
+    void answer(session& caller, statement_result result);
+    void answer_success(session& caller);
+    void answer_error(session& caller, statement_error error);
+    void close_if_done(session& caller);
+    [[nodiscard]] std::shared_ptr<const route> find_route(const std::string& database) const;
+    [[nodiscard]] bool writes(const session& caller, const statement& work) const;
+
+    // Requests, engine_requests.cpp
+    void start_request(session& caller, const statement& work, std::shared_ptr<const route> via);
+    void place(session& caller);
+    void wait(session& caller, wait_reason reason);
+    void dispatch_waiting(const core::service_id& service);
+    [[nodiscard]] std::optional<core::target_id> choose_target(session& caller);
+    [[nodiscard]] std::optional<core::target_id> choose_replica(session& caller,
+                                                                const log_point& bound);
+    [[nodiscard]] std::optional<log_point> required_point(const session& caller) const;
+    [[nodiscard]] bool needs_primary(const session& caller) const;
+    [[nodiscard]] bool usable(const target_state& target) const;
+    target_connection* connect_for(session& caller, target_state& target);
+    void open_connection(target_state& target);
+    void run_on(session& caller, target_connection& connection);
+    void send_statement(session& caller, target_connection& connection,
+                        std::vector<target_command> commands);
+    void add_preparation(const session& caller, target_connection& connection,
+                         std::vector<target_command>& commands);
+    void send(target_connection& connection, std::vector<target_command> commands, reply_role role);
+    void retry_or_refuse(session& caller, const core::target_id& target, statement_error error);
+    void refuse(session& caller, statement_error error);
+    void expire(session& caller);
+    [[nodiscard]] unsigned connection_share(const target_state& target) const;
+
+    // Replies of targets, engine_replies.cpp
+    void on_leadership_reply(target_connection& connection, const expected_reply& expected,
+                             const statement_result& result);
+    void on_begin_reply(session& caller, target_connection& connection,
+                        const expected_reply& expected, const statement_result& result);
+    void on_statement_reply(session& caller, target_connection& connection,
+                            const expected_reply& expected, const statement_result& result);
+    void finish_single(session& caller, target_connection& connection,
+                       const statement_result& result);
+    void finish_in_transaction(session& caller, target_connection& connection,
+                               const statement_result& result);
+    void release_when_idle(target_connection& connection);
+    void drop_connection(core::connection_id id);
+    void on_connection_lost(const target_connection& connection, bool was_open);
+    void on_target_alive(const core::target_id& target);
+    void on_target_failure(const core::target_id& target);
+    void confirm_primary(const core::target_id& target, core::time_point sent, log_point point);
+    void refute_primary(const core::target_id& target);
+    void observe_latency(target_state& target, core::duration taken);
+
+    // Registry, engine_registry.cpp
+    void apply_target(const target_record& record);
+    void apply_removal(const core::target_id& id);
+    void forget(const core::target_id& id);
+    void update_ready();
+
+    // Periodic work and promotion, engine_upkeep.cpp
+    void keep_service(const core::service_id& id, service_state& state);
+    void probe(target_state& target);
+    void search_primary(const core::service_id& id, service_state& state);
+    void keep_targets();
+    void keep_sessions();
+    void keep_connections();
+    void keep_stopping();
+    void run_promoter();
+    void inspect_targets(const core::service_id& service, core::term_number hold_term);
+
+    void log(core::log_event::level severity, std::string name,
+             std::vector<std::pair<std::string, std::string>> fields);
+    void count(std::string name, std::vector<std::pair<std::string, std::string>> labels);
+
+    engine_settings settings_;
+    core::id_source ids_;
+    core::time_point now_;
+    action_list out_;
+    std::map<session_id, session> sessions_;
+    target_pool pool_;
+    std::map<core::service_id, service_state> services_;
+    std::optional<configuration> configuration_;
+    std::set<core::host_id> hosts_;
+    promoter promoter_;
+    bool targets_known_ = false;
+    bool ready_ = false;
+    std::optional<core::time_point> stopping_since_;
+    core::time_point last_upkeep_;
+};
+
+} // namespace lovagemoor::proxy
--- /dev/null
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <lovagemoor/core/ids.hpp>
+
+#include <chrono>
+
+namespace lovagemoor::proxy {
+
+/// @brief Limits and intervals of the engine.
+struct engine_settings {
+    core::host_id host;
+    core::domain_id domain;
+    /// Longest wait for a connection to a target to open. Several times the slowest connect of the
+    /// reference deployments (27 ms).
+    std::chrono::milliseconds connect_timeout{400};
+    /// First pause after a failed connect; doubles up to connect_backoff_max.
+    std::chrono::milliseconds connect_backoff{100};
+    std::chrono::milliseconds connect_backoff_max{1000};
+    /// Longest age of the newest proof of leadership while a service is in use. A third of the
+    /// shortest staleness of the reference deployments (1,500 ms).
+    std::chrono::milliseconds check_interval{500};
+    /// A probe of the primary without a reply for this long is a failure. Commands without work are
+    /// answered within milliseconds, also by a loaded target.
+    std::chrono::milliseconds probe_timeout{500};
+    /// Pause between probes of all targets while a service has no known primary.
+    std::chrono::milliseconds search_interval{150};
+    /// A primary that failed for this long is suspected.
+    std::chrono::milliseconds suspicion_delay{300};
+    /// Time for which a target that refused for lack of capacity gets no new reads.
+    std::chrono::milliseconds busy_pause{50};
+    /// Time for which a replica that lagged gets no reads with a bound.
+    std::chrono::milliseconds lagging_pause{100};
+    /// Time after which a target that the registry removed gets no new statements. The registry
+    /// restores live targets within 2 s of an outage.
+    std::chrono::milliseconds removal_grace{2500};
+    /// Time for which a draining target may still get new statements; half of the shortest notice
+    /// of the reference deployments (7 s).
+    std::chrono::milliseconds draining_use{3500};
+    /// Statements that a session may send ahead.
+    std::size_t max_backlog = 32;
+    /// Attempts for one statement.
+    unsigned max_attempts = 6;
+    /// Time from the request to stop until the process must have ended.
+    std::chrono::milliseconds stop_grace{6000};
+};
+
+} // namespace lovagemoor::proxy
--- /dev/null
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -0,0 +1,171 @@
+#pragma once
+
+#include <lovagemoor/core/ids.hpp>
+#include <lovagemoor/proxy/registry/configuration.hpp>
+#include <lovagemoor/proxy/registry/target_record.hpp>
+#include <lovagemoor/proxy/session/statement.hpp>
+#include <lovagemoor/proxy/target/target_reply.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// @file
+/// @brief Everything that the driver can tell the engine.
+
+namespace lovagemoor::proxy {
+
+/// @brief Identifies a caller's connection within this process.
+using session_id = std::uint64_t;
+
+/// @name Callers
+/// @{
+struct session_opened {
+    session_id session = 0;
+    std::string database;
+};
+
+struct statement_received {
+    session_id session = 0;
+    proxy::statement statement;
+};
+
+struct session_closed {
+    session_id session = 0;
+};
+/// @}
+
+/// @name Targets
+/// @{
+struct target_connected {
+    core::connection_id connection = 0;
+    /// The target's log position at the time.
+    std::optional<log_point> point;
+};
+
+struct target_replied {
+    core::connection_id connection = 0;
+    target_reply reply;
+};
+
+/// @brief Why a connection to a target ended or could not be opened.
+enum class target_close_reason : std::uint8_t {
+    /// Nothing listens at the address.
+    refused,
+    /// No answer in time.
+    timed_out,
+    /// The target has no connection left.
+    connection_limit,
+    /// Another target answered.
+    wrong_target,
+    /// The target closed an open connection.
+    closed,
+    /// The reply could not be decoded.
+    malformed,
+};
+
+struct target_disconnected {
+    core::connection_id connection = 0;
+    target_close_reason reason = target_close_reason::closed;
+};
+/// @}
+
+/// @name Registry
+/// @{
+struct configuration_changed {
+    proxy::configuration configuration;
+};
+
+/// @brief The complete list of targets.
+struct targets_listed {
+    std::vector<target_record> targets;
+};
+
+struct target_changed {
+    target_record target;
+};
+
+struct target_removed {
+    core::target_id target;
+};
+
+/// @brief The complete list of hosts.
+struct hosts_listed {
+    std::vector<core::host_id> hosts;
+};
+
+struct host_joined {
+    core::host_id host;
+};
+
+struct host_left {
+    core::host_id host;
+};
+/// @}
+
+/// @name Failure reports and promotion
+/// @{
+
+/// @brief A host's report that it cannot reach a primary.
+struct suspicion_report {
+    core::service_id service;
+    core::target_id primary;
+    core::host_id reporter;
+};
+
+struct suspicion_reported {
+    suspicion_report report;
+};
+
+struct suspicion_withdrawn {
+    core::service_id service;
+    core::host_id reporter;
+};
+
+enum class duty_claim_result : std::uint8_t { acquired, held_by_other, unknown };
+
+/// @brief Result of claiming the right to promote.
+struct duty_claimed {
+    duty_claim_result result = duty_claim_result::unknown;
+    /// Grows with each change of the holder.
+    std::uint64_t fencing_token = 0;
+    /// Time left to the holder of the claim.
+    std::chrono::milliseconds valid_for{0};
+};
+
+/// @brief The claim ended, by its holder or because its lease ran out.
+struct duty_released {};
+
+enum class promotion_result : std::uint8_t {
+    accepted,
+    /// The target is not running or a newer fencing token is known.
+    rejected,
+    /// The call was not executed because of load.
+    overloaded,
+    /// No answer; it may still be executed.
+    unknown,
+};
+
+struct promotion_answered {
+    core::service_id service;
+    core::target_id target;
+    promotion_result result = promotion_result::unknown;
+};
+/// @}
+
+/// @brief The process was asked to stop.
+struct stop_requested {};
+
+/// @brief The time of engine::next_wakeup() has come.
+struct timer_expired {};
+
+using event =
+    std::variant<session_opened, statement_received, session_closed, target_connected,
+                 target_replied, target_disconnected, configuration_changed, targets_listed,
+                 target_changed, target_removed, hosts_listed, host_joined, host_left,
+                 suspicion_reported, suspicion_withdrawn, duty_claimed, duty_released,
+                 promotion_answered, stop_requested, timer_expired>;
+
+} // namespace lovagemoor::proxy
--- /dev/null
+++ b/packages/proxy/include/lovagemoor/proxy/fwd.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+namespace lovagemoor::proxy {
+
+struct configuration;
+struct log_point;
+struct route;
+struct session;
+struct statement;
+struct target_command;
+struct target_record;
+struct target_reply;
+
+class engine;
+class primary_checks;
+class primary_view;
+class target_pool;
+
+} // namespace lovagemoor::proxy
--- /dev/null
+++ b/packages/proxy/include/lovagemoor/proxy/promotion/promoter.hpp
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <lovagemoor/core/ids.hpp>
+#include <lovagemoor/core/time.hpp>
+#include <lovagemoor/proxy/engine/event.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace lovagemoor::proxy {
+
+/// @brief Why a service needs another primary.
+enum class promotion_cause : std::uint8_t {
+    none,
+    /// Enough hosts cannot reach the primary.
+    primary_lost,
+    /// The primary announced that it stops.
+    primary_draining,
+};
+
+/// @brief A replica that may take over.
+struct promotion_candidate {
+    core::target_id target;
+    bool draining = false;
+};
+
+/// @brief What the decision about one service's primary depends on.
+struct service_outlook {
+    core::service_id service;
+    std::optional<core::target_id> primary;
+    promotion_cause cause = promotion_cause::none;
+    /// Listed targets that are not the primary.
+    std::vector<promotion_candidate> replicas;
+    unsigned synchronous_replicas = 0;
+    core::term_number term = 0;
+};
+
+struct promoter_settings {
+    /// How long a claim of the duty to promote lasts. Long enough for inspection, call and the
+    /// targets' own promotion (up to 1 s in the reference deployments).
+    std::chrono::milliseconds claim_duration{3000};
+    /// The claim is not used in its last part, so that a late call still arrives under it.
+    std::chrono::milliseconds claim_margin{500};
+    /// Pause before a claim is tried again.
+    std::chrono::milliseconds claim_retry{250};
+    /// Longest wait for the replicas' positions once one is known.
+    std::chrono::milliseconds inspection_time{150};
+    /// Longest wait for the first position.
+    std::chrono::milliseconds inspection_limit{600};
+    /// Longest wait for the registry's promotion call before it is repeated.
+    std::chrono::milliseconds call_retry{700};
+    /// Time for the chosen target to lead before the promotion starts over.
+    std::chrono::milliseconds takeover_limit{2500};
+};
+
+/// @name What the promoter asks for
+/// @{
+struct inspect_replicas {
+    core::service_id service;
+    /// Replication into the replicas is held with this term; 0 to only look.
+    core::term_number hold_term = 0;
+};
+
+struct call_promotion {
+    core::service_id service;
+    core::target_id target;
+    std::uint64_t fencing_token = 0;
+};
+
+struct request_duty {
+    std::chrono::milliseconds duration{0};
+};
+
+using promoter_step = std::variant<request_duty, inspect_replicas, call_promotion>;
+/// @}
+
+/// @brief Decides when and to which target to move a service's primary.
+///
+/// There is no standing leader. A host that sees the need claims the duty in the registry; the
+/// claim's number is the fencing token of its calls. It then asks the replicas for their positions
+/// and promotes the one with the most complete log. An unanswered call is repeated for the same
+/// target with the same token, since the first one may still be executed.
+class promoter {
+public:
+    promoter() = default;
+    explicit promoter(promoter_settings settings) : settings_{settings} {}
+
+    /// @brief Decides the next steps.
+    [[nodiscard]] std::vector<promoter_step> advance(core::time_point now,
+                                                     const std::vector<service_outlook>& outlooks);
+
+    void on_duty(core::time_point now, const duty_claimed& result);
+    void on_duty_released() { token_.reset(); }
+    void on_status(const core::service_id& service, const core::target_id& target,
+                   const target_status& status);
+    void on_promotion(core::time_point now, const promotion_answered& answer);
+
+    /// @brief A target proved that it leads.
+    void on_primary(const core::service_id& service, const core::target_id& target);
+
+    /// @return True while a promotion of the service is under way here.
+    [[nodiscard]] bool promoting(const core::service_id& service) const;
+
+private:
+    enum class stage : std::uint8_t { inspecting, calling, taking_over };
+
+    struct attempt {
+        stage at = stage::inspecting;
+        core::time_point since;
+        core::target_id former;
+        std::map<core::target_id, target_status> positions;
+        std::set<core::target_id> rejected;
+        core::target_id chosen;
+        core::time_point called;
+    };
+
+    [[nodiscard]] bool holds_duty(core::time_point now) const;
+    void start(core::time_point now, const service_outlook& outlook,
+               std::vector<promoter_step>& steps);
+    void advance_attempt(core::time_point now, const service_outlook& outlook, attempt& current,
+                         std::vector<promoter_step>& steps);
+    [[nodiscard]] std::optional<core::target_id> choose(const service_outlook& outlook,
+                                                        const attempt& current) const;
+    [[nodiscard]] bool inspection_done(core::time_point now, const service_outlook& outlook,
+                                       const attempt& current) const;
+
+    promoter_settings settings_;
+    std::optional<std::uint64_t> token_;
+    core::time_point token_until_;
+    bool claiming_ = false;
+    core::time_point claim_after_;
+    std::map<core::service_id, attempt> attempts_;
+};
+
+} // namespace lovagemoor::proxy
--- /dev/null
+++ b/packages/proxy/src/engine/engine.cpp
@@ -0,0 +1,119 @@
+#include <lovagemoor/proxy/engine/engine.hpp>
+
+#include <utility>
+
+namespace lovagemoor::proxy {
+
+namespace internal {
+
+namespace {
+
+/// Pause between runs of the periodic work; bounds the delay of time-outs.
+constexpr core::duration upkeep_interval = std::chrono::milliseconds{25};
+
+} // namespace
+
+} // namespace internal
+
+engine::engine(engine_settings settings) : settings_{std::move(settings)} {}
+
+action_list engine::handle(core::time_point now, const event& input) {
+    now_ = now;
+    out_.clear();
+    std::visit([this](const auto& specific) { on(specific); }, input);
+    if (now_ - last_upkeep_ >= internal::upkeep_interval) {
+        on(timer_expired{});
+    }
+    return std::exchange(out_, {});
+}
+
+core::time_point engine::next_wakeup() const {
+    return last_upkeep_ + internal::upkeep_interval;
+}
+
+void engine::on(const session_opened& input) {
+    session& caller = sessions_[input.session];
+    caller.id = input.session;
+    caller.database = input.database;
+    caller.opened = now_;
+    if (configuration_.has_value() && find_route(input.database) == nullptr) {
+        answer_error(caller, {statement_error_kind::unknown_database, "no route", std::nullopt});
+        out_.emplace_back(close_session{input.session});
+        sessions_.erase(input.session);
+        return;
+    }
+    out_.emplace_back(accept_session{input.session});
+}
+
+void engine::on(const statement_received& input) {
+    const auto found = sessions_.find(input.session);
+    if (found == sessions_.end()) {
+        return;
+    }
+    session& caller = found->second;
+    if (caller.current.has_value()) {
+        if (caller.backlog.size() >= settings_.max_backlog) {
+            log(core::log_event::level::warning, "session_closed",
+                {{"session", std::to_string(caller.id)}, {"reason", "too many statements ahead"}});
+            out_.emplace_back(close_session{caller.id});
+            on(session_closed{caller.id});
+            return;
+        }
+        caller.backlog.push_back(input.statement);
+        return;
+    }
+    const session_id id = input.session;
+    start_statement(caller, input.statement);
+    start_backlog(id);
+}
+
+void engine::on(const session_closed& input) {
+    const auto found = sessions_.find(input.session);
+    if (found == sessions_.end()) {
+        return;
+    }
+    session& caller = found->second;
+    if (caller.transaction.has_value() && !caller.current.has_value()) {
+        detach_transaction(caller);
+    }
+    if (caller.transaction.has_value() && caller.transaction->connection.has_value()) {
+        // A statement of the transaction is at the target: closing the connection rolls it back.
+        drop_connection(*caller.transaction->connection);
+    }
+    for (auto& [service, state] : services_) {
+        std::erase(state.waiting, input.session);
+    }
+    sessions_.erase(found);
+}
+
+void engine::on(const timer_expired& /*input*/) {
+    last_upkeep_ = now_;
+    keep_sessions();
+    keep_connections();
+    keep_targets();
+    for (auto& [id, state] : services_) {
+        keep_service(id, state);
+    }
+    run_promoter();
+    keep_stopping();
+}
+
+void engine::on(const stop_requested& /*input*/) {
+    if (!stopping_since_.has_value()) {
+        stopping_since_ = now_;
+        log(core::log_event::level::info, "stopping",
+            {{"sessions", std::to_string(sessions_.size())}});
+        update_ready();
+    }
+}
+
+void engine::log(core::log_event::level severity, std::string name,
+                 std::vector<std::pair<std::string, std::string>> fields) {
+    out_.emplace_back(core::log_event{severity, std::move(name), std::move(fields)});
+}
+
+void engine::count(std::string name, std::vector<std::pair<std::string, std::string>> labels) {
+    out_.emplace_back(core::count_metric{std::move(name), std::move(labels)});
+}
+
+} // namespace lovagemoor::proxy
--- /dev/null
+++ b/packages/proxy/src/engine/engine_registry.cpp
@@ -0,0 +1,108 @@
+#include <lovagemoor/proxy/engine/engine.hpp>
+
+#include <set>
+#include <utility>
+
+namespace lovagemoor::proxy {
+
+void engine::on(const configuration_changed& input) {
+    if (configuration_.has_value() && input.configuration.version <= configuration_->version) {
+        return;
+    }
+    log(core::log_event::level::info, "configuration_applied",
+        {{"version", std::to_string(input.configuration.version)},
+         {"former", configuration_.has_value() ? std::to_string(configuration_->version) : "none"},
+         {"routes", std::to_string(input.configuration.routes.size())}});
+    configuration_ = input.configuration;
+    update_ready();
+}
+
+void engine::on(const targets_listed& input) {
+    std::set<core::target_id> listed;
+    for (const target_record& record : input.targets) {
+        listed.insert(record.id);
+        apply_target(record);
+    }
+    std::vector<core::target_id> missing;
+    for (const auto& [id, state] : pool_.targets()) {
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const core::target_id& id : missing) {
+        apply_removal(id);
+    }
+    targets_known_ = true;
+    update_ready();
+}
+
+void engine::on(const target_changed& input) {
+    apply_target(input.target);
+}
+
+void engine::on(const target_removed& input) {
+    apply_removal(input.target);
+}
+
+void engine::apply_target(const target_record& record) {
+    const target_state* const known = pool_.find(record.id);
+    if (known == nullptr || known->record != record || known->removed_at.has_value()) {
+        log(core::log_event::level::info, "target_updated",
+            {{"target", record.id.value},
+             {"service", record.service.value},
+             {"draining", record.draining ? "true" : "false"},
+             {"claims_primary", record.claims_primary ? "true" : "false"}});
+    }
+    if (known != nullptr && known->record.service != record.service) {
+        services_[known->record.service].view.on_removed(record.id);
+    }
+    for (const target_connection& obsolete : pool_.update(record, now_)) {
+        out_.emplace_back(close_target{obsolete.id});
+        on_connection_lost(obsolete, obsolete.phase != connection_phase::opening);
+    }
+    services_[record.service].view.on_claim(record.id, record.claims_primary);
+    dispatch_waiting(record.service);
+}
+
+void engine::apply_removal(const core::target_id& id) {
+    target_state* const target = pool_.find(id);
+    if (target == nullptr || target->removed_at.has_value()) {
+        return;
+    }
+    log(core::log_event::level::info, "target_removed",
+        {{"target", id.value}, {"service", target->record.service.value}});
+    target->removed_at = now_;
+}
+
+void engine::forget(const core::target_id& id) {
+    const target_state* const target = pool_.find(id);
+    services_[target->record.service].view.on_removed(id);
+    for (const target_connection& orphan : pool_.remove(id)) {
+        out_.emplace_back(close_target{orphan.id});
+        on_connection_lost(orphan, orphan.phase != connection_phase::opening);
+    }
+}
+
+void engine::on(const hosts_listed& input) {
+    hosts_ = {input.hosts.begin(), input.hosts.end()};
+}
+
+void engine::on(const host_joined& input) {
+    hosts_.insert(input.host);
+}
+
+void engine::on(const host_left& input) {
+    hosts_.erase(input.host);
+}
+
+void engine::update_ready() {
+    const bool ready =
+        configuration_.has_value() && targets_known_ && !stopping_since_.has_value();
+    if (ready != ready_) {
+        ready_ = ready;
+        log(core::log_event::level::info, "ready_changed", {{"ready", ready ? "true" : "false"}});
+        out_.emplace_back(set_ready{ready});
+    }
+}
+
+} // namespace lovagemoor::proxy
--- /dev/null
+++ b/packages/proxy/src/engine/engine_replies.cpp
@@ -0,0 +1,448 @@
+#include <lovagemoor/proxy/engine/engine.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagemoor::proxy {
+
+namespace internal {
+
+namespace {
+
+/// Weight of a new observation in a target's mean latency.
+constexpr int latency_weight = 8;
+
+const char* to_string(target_close_reason reason) noexcept {
+    switch (reason) {
+    case target_close_reason::refused:
+        return "refused";
+    case target_close_reason::timed_out:
+        return "timed_out";
+    case target_close_reason::connection_limit:
+        return "connection_limit";
+    case target_close_reason::wrong_target:
+        return "wrong_target";
+    case target_close_reason::closed:
+        return "closed";
+    case target_close_reason::malformed:
+        return "malformed";
+    }
+    return "closed";
+}
+
+} // namespace
+
+} // namespace internal
+
+void engine::on(const target_connected& input) {
+    target_connection* const connection = pool_.find(input.connection);
+    if (connection == nullptr) {
+        out_.emplace_back(close_target{input.connection});
+        return;
+    }
+    pool_.on_opened(*connection, now_);
+    on_target_alive(connection->target);
+    if (target_state* const target = pool_.find(connection->target)) {
+        target->connect_failures = 0;
+        dispatch_waiting(target->record.service);
+    }
+}
+
+void engine::on(const target_replied& input) {
+    target_connection* const connection = pool_.find(input.connection);
+    if (connection == nullptr) {
+        return;
+    }
+    if (connection->expected.empty()) {
+        log(core::log_event::level::warning, "unexpected_reply",
+            {{"target", connection->target.value}});
+        drop_connection(input.connection);
+        return;
+    }
+    const expected_reply expected = connection->expected.front();
+    connection->expected.pop_front();
+    on_target_alive(connection->target);
+    const statement_result& result = input.reply.result;
+    const auto user = sessions_.find(connection->user);
+    session* const caller = user != sessions_.end() && user->second.current.has_value() &&
+                                    user->second.current->connection == connection->id
+                                ? &user->second
+                                : nullptr;
+    switch (expected.role) {
+    case reply_role::leadership_check:
+    case reply_role::probe:
+        on_leadership_reply(*connection, expected, result);
+        break;
+    case reply_role::transaction_begin:
+        if (caller != nullptr) {
+            on_begin_reply(*caller, *connection, expected, result);
+        } else if (!result.error.has_value()) {
+            send(*connection, {target_command{command_kind::rollback, {}, {}, {}, {}, 0}},
+                 reply_role::release);
+        }
+        break;
+    case reply_role::caller_statement:
+        if (caller != nullptr) {
+            on_statement_reply(*caller, *connection, expected, result);
+        }
+        break;
+    case reply_role::preparation:
+        if (result.error.has_value() || !result.signature.empty()) {
+            log(core::log_event::level::warning, "preparation_failed",
+                {{"target", connection->target.value}});
+            drop_connection(input.connection);
+            return;
+        }
+        break;
+    case reply_role::inspection:
+        if (input.reply.status.has_value()) {
+            if (const target_state* const target = pool_.find(connection->target)) {
+                promoter_.on_status(target->record.service, connection->target,
+                                    *input.reply.status);
+                run_promoter();
+            }
+        }
+        break;
+    case reply_role::release:
+    case reply_role::check_end:
+        break;
+    }
+    if (target_connection* const still_open = pool_.find(input.connection)) {
+        release_when_idle(*still_open);
+    }
+}
+
+void engine::release_when_idle(target_connection& connection) {
+    if (connection.phase != connection_phase::in_use || !connection.expected.empty()) {
+        return;
+    }
+    const auto user = sessions_.find(connection.user);
+    if (user != sessions_.end()) {
+        const session& caller = user->second;
+        const bool pinned = caller.transaction.has_value() &&
+                            caller.transaction->connection == connection.id;
+        const bool serving = caller.current.has_value() &&
+                             caller.current->connection == connection.id &&
+                             caller.current->phase != request_phase::waiting;
+        if (pinned || serving) {
+            return;
+        }
+    }
+    pool_.release(connection, now_);
+    if (const target_state* const target = pool_.find(connection.target)) {
+        dispatch_waiting(target->record.service);
+    }
+}
+
+void engine::on_leadership_reply(target_connection& connection, const expected_reply& expected,
+                                 const statement_result& result) {
+    const core::target_id target = connection.target;
+    const core::connection_id id = connection.id;
+    const bool leads = !result.error.has_value() && result.point.has_value();
+    if (leads) {
+        confirm_primary(target, expected.sent, *result.point);
+    } else if (result.error.has_value() &&
+               result.error->kind == statement_error_kind::read_only) {
+        refute_primary(target);
+    }
+    if (expected.role == reply_role::probe) {
+        return;
+    }
+    const auto user = sessions_.find(connection.user);
+    if (user == sessions_.end() || !user->second.current.has_value() ||
+        user->second.current->connection != id) {
+        return;
+    }
+    session& caller = user->second;
+    if (leads) {
+        send_statement(caller, connection, {});
+        return;
+    }
+    retry_or_refuse(caller, target,
+                    result.error.value_or(statement_error{statement_error_kind::busy,
+                                                          "no log position", std::nullopt}));
+}
+
+void engine::on_begin_reply(session& caller, target_connection& connection,
+                            const expected_reply& expected, const statement_result& result) {
+    const core::target_id target = connection.target;
+    const bool plain = caller.current->check_leadership;
+    if (!result.error.has_value()) {
+        if (plain && result.point.has_value()) {
+            confirm_primary(target, expected.sent, *result.point);
+        }
+        caller.transaction->connection = connection.id;
+        caller.transaction->target = target;
+        send_statement(caller, connection, {});
+        return;
+    }
+    if (plain && result.error->kind == statement_error_kind::read_only) {
+        refute_primary(target);
+    }
+    if (result.error->kind == statement_error_kind::lagging) {
+        if (target_state* const state = pool_.find(target)) {
+            state->lagging_until = now_ + settings_.lagging_pause;
+        }
+    }
+    retry_or_refuse(caller, target, *result.error);
+}
+
+void engine::on_statement_reply(session& caller, target_connection& connection,
+                                const expected_reply& expected, const statement_result& result) {
+    if (target_state* const target = pool_.find(connection.target)) {
+        observe_latency(*target, now_ - expected.sent);
+        if (result.error.has_value() && result.error->kind == statement_error_kind::busy) {
+            target->avoid_until = now_ + settings_.busy_pause;
+        }
+        if (result.error.has_value() && result.error->kind == statement_error_kind::lagging) {
+            target->lagging_until = now_ + settings_.lagging_pause;
+        }
+    }
+    if (result.error.has_value() && result.error->kind == statement_error_kind::read_only) {
+        refute_primary(connection.target);
+    }
+    if (caller.transaction.has_value()) {
+        finish_in_transaction(caller, connection, result);
+    } else {
+        finish_single(caller, connection, result);
+    }
+}
+
+void engine::finish_single(session& caller, target_connection& connection,
+                           const statement_result& result) {
+    const request& work = *caller.current;
+    if (result.error.has_value()) {
+        const statement_error_kind kind = result.error->kind;
+        if (kind == statement_error_kind::not_prepared) {
+            connection.prepared.clear();
+        }
+        const bool repeatable =
+            proves_not_run(kind) || kind == statement_error_kind::not_prepared ||
+            (kind == statement_error_kind::failed && !work.writes);
+        if (repeatable) {
+            retry_or_refuse(caller, connection.target, *result.error);
+            return;
+        }
+    } else if (work.writes && result.point.has_value()) {
+        confirm_primary(connection.target, work.sent, *result.point);
+    }
+    const core::service_id service = work.via->service;
+    const session_id id = caller.id;
+    if (!result.error.has_value() && result.point.has_value()) {
+        if (caller.seen_service != service || !caller.seen.has_value() ||
+            *result.point > *caller.seen) {
+            caller.seen = result.point;
+        }
+        caller.seen_service = service;
+    }
+    caller.current.reset();
+    statement_result answered = result;
+    answer(caller, std::move(answered));
+    close_if_done(caller);
+    start_backlog(id);
+}
+
+void engine::finish_in_transaction(session& caller, target_connection& connection,
+                                   const statement_result& result) {
+    request& work = *caller.current;
+    const session_id id = caller.id;
+    if (result.error.has_value()) {
+        const statement_error error = *result.error;
+        const core::target_id target = connection.target;
+        const bool first = caller.transaction->answered == 0;
+        if (proves_not_run(error.kind) && first && work.work.kind != statement_kind::commit) {
+            // Nothing ran in it yet, so that it can begin again elsewhere.
+            const transaction kept = *caller.transaction;
+            detach_transaction(caller);
+            caller.transaction = kept;
+            caller.transaction->connection.reset();
+            retry_or_refuse(caller, target, error);
+            return;
+        }
+        if (result.state == session_state::in_transaction &&
+            error.kind == statement_error_kind::busy && now_ < work.deadline) {
+            work.phase = request_phase::waiting;
+            wait(caller, wait_reason::connection);
+            return;
+        }
+        caller.current.reset();
+        detach_transaction(caller);
+        caller.state = session_state::failed_transaction;
+        answer_error(caller, error);
+        start_backlog(id);
+        return;
+    }
+    if (result.point.has_value() && caller.transaction->answered == 0 &&
+        !caller.transaction->read_only) {
+        on_target_alive(connection.target);
+    }
+    ++caller.transaction->answered;
+    const bool ended = work.work.kind == statement_kind::commit;
+    if (ended) {
+        if (result.point.has_value()) {
+            caller.seen = result.point;
+            caller.seen_service = work.via->service;
+        }
+        caller.transaction.reset();
+        caller.state = session_state::idle;
+    }
+    caller.current.reset();
+    answer(caller, result);
+    close_if_done(caller);
+    start_backlog(id);
+}
+
+void engine::on(const target_disconnected& input) {
+    const target_connection* const found = pool_.find(input.connection);
+    if (found == nullptr) {
+        return;
+    }
+    const target_connection lost = *found;
+    pool_.erase(input.connection);
+    target_state* const target = pool_.find(lost.target);
+    const bool was_open = lost.phase != connection_phase::opening;
+    log(core::log_event::level::info, "target_disconnected",
+        {{"target", lost.target.value},
+         {"reason", internal::to_string(input.reason)},
+         {"was_open", was_open ? "true" : "false"}});
+    if (target != nullptr && !was_open) {
+        ++target->connect_failures;
+        const unsigned doublings = std::min(target->connect_failures - 1, 5U);
+        target->connect_after =
+            now_ + std::min<core::duration>(settings_.connect_backoff * (1U << doublings),
+                                            settings_.connect_backoff_max);
+    }
+    // A target without a free connection works; only the others count as failures.
+    if (input.reason != target_close_reason::connection_limit) {
+        on_target_failure(lost.target);
+    }
+    on_connection_lost(lost, was_open);
+}
+
+void engine::drop_connection(core::connection_id id) {
+    const target_connection* const found = pool_.find(id);
+    if (found == nullptr) {
+        return;
+    }
+    const target_connection lost = *found;
+    pool_.erase(id);
+    out_.emplace_back(close_target{id});
+    on_connection_lost(lost, true);
+}
+
+void engine::on_connection_lost(const target_connection& connection, bool was_open) {
+    const auto user = sessions_.find(connection.user);
+    if (!was_open || user == sessions_.end()) {
+        if (const target_state* const target = pool_.find(connection.target)) {
+            dispatch_waiting(target->record.service);
+        }
+        return;
+    }
+    session& caller = user->second;
+    const bool pinned =
+        caller.transaction.has_value() && caller.transaction->connection == connection.id;
+    const bool serving =
+        caller.current.has_value() && caller.current->connection == connection.id;
+    if (pinned) {
+        caller.transaction->connection.reset();
+    }
+    if (!serving) {
+        if (pinned) {
+            caller.transaction_error =
+                statement_error{statement_error_kind::aborted, "connection to the target lost",
+                                std::nullopt};
+        }
+        return;
+    }
+    request& work = *caller.current;
+    const bool sent = work.phase == request_phase::running;
+    const bool commits = work.work.kind == statement_kind::commit;
+    if (sent && (commits || (work.writes && !pinned))) {
+        refuse(caller, {statement_error_kind::in_doubt, "connection to the target lost",
+                        std::nullopt});
+        return;
+    }
+    const bool restart = !pinned || caller.transaction->answered == 0;
+    if (!restart) {
+        refuse(caller,
+               {statement_error_kind::aborted, "connection to the target lost", std::nullopt});
+        return;
+    }
+    retry_or_refuse(caller, connection.target,
+                    {statement_error_kind::busy, "connection to the target lost", std::nullopt});
+}
+
+void engine::on_target_alive(const core::target_id& id) {
+    target_state* const target = pool_.find(id);
+    if (target == nullptr) {
+        return;
+    }
+    service_state& service = services_[target->record.service];
+    if (service.view.primary() == id) {
+        service.primary_contact = now_;
+        service.failing_since.reset();
+    }
+}
+
+void engine::on_target_failure(const core::target_id& id) {
+    target_state* const target = pool_.find(id);
+    if (target == nullptr) {
+        return;
+    }
+    target->avoid_until = now_ + settings_.connect_backoff;
+    service_state& service = services_[target->record.service];
+    if (service.view.primary() == id && !service.failing_since.has_value()) {
+        service.failing_since = now_;
+    }
+}
+
+void engine::confirm_primary(const core::target_id& target, core::time_point sent,
+                             log_point point) {
+    const target_state* const state = pool_.find(target);
+    if (state == nullptr) {
+        return;
+    }
+    const core::service_id service_name = state->record.service;
+    service_state& service = services_[service_name];
+    const bool was_confirmed = service.view.confirmed();
+    const bool first_bound = !service.checks.newest().has_value();
+    const bool changed = service.view.on_confirmed(target, point.term);
+    if (service.view.primary() != target) {
+        return;
+    }
+    service.checks.record(sent, point);
+    service.primary_contact = now_;
+    service.failing_since.reset();
+    promoter_.on_primary(service_name, target);
+    if (changed || !was_confirmed) {
+        log(core::log_event::level::info, "primary_confirmed",
+            {{"service", service_name.value},
+             {"target", target.value},
+             {"term", std::to_string(point.term)},
+             {"position", std::to_string(point.position)}});
+    }
+    if (changed || first_bound || !service.waiting.empty()) {
+        dispatch_waiting(service_name);
+    }
+}
+
+void engine::refute_primary(const core::target_id& target) {
+    const target_state* const state = pool_.find(target);
+    if (state == nullptr) {
+        return;
+    }
+    service_state& service = services_[state->record.service];
+    if (service.view.on_refuted(target)) {
+        log(core::log_event::level::info, "primary_refuted",
+            {{"service", state->record.service.value},
+             {"target", target.value},
+             {"next", service.view.primary().has_value() ? service.view.primary()->value : "none"}});
+    }
+}
+
+void engine::observe_latency(target_state& target, core::duration taken) {
+    target.mean_latency += (taken - target.mean_latency) / internal::latency_weight;
+    target.latency_updated = now_;
+}
+
+} // namespace lovagemoor::proxy
--- /dev/null
+++ b/packages/proxy/src/engine/engine_requests.cpp
@@ -0,0 +1,355 @@
+#include <lovagemoor/proxy/engine/engine.hpp>
+
+#include <lovagemoor/proxy/pool/connection_share.hpp>
+#include <lovagemoor/proxy/routing/target_choice.hpp>
+
+#include <algorithm>
+#include <string>
+#include <tuple>
+#include <utility>
+
+namespace lovagemoor::proxy {
+
+namespace internal {
+
+namespace {
+
+target_command command(command_kind kind, std::string name = {}, std::string argument = {}) {
+    return target_command{kind, {}, std::move(name), std::move(argument), std::nullopt, 0};
+}
+
+/// The name under which all sessions share a prepared statement on a connection.
+std::string shared_name(const prepared_statement& prepared) {
+    return (prepared.read_only ? "r_" : "w_") + prepared.shape;
+}
+
+} // namespace
+
+} // namespace internal
+
+void engine::start_request(session& caller, const statement& work,
+                           std::shared_ptr<const route> via) {
+    request& started = caller.current.emplace();
+    started.work = work;
+    started.writes = writes(caller, work);
+    started.received = now_;
+    started.deadline = now_ + via->statement_timeout;
+    started.via = std::move(via);
+    services_[started.via->service].last_use = now_;
+    place(caller);
+}
+
+bool engine::needs_primary(const session& caller) const {
+    const request& work = *caller.current;
+    if (work.via->reads == read_consistency::latest || work.writes) {
+        return true;
+    }
+    return caller.transaction.has_value() && !caller.transaction->read_only;
+}
+
+bool engine::usable(const target_state& target) const {
+    if (target.removed_at.has_value()) {
+        return now_ - *target.removed_at < settings_.removal_grace;
+    }
+    return !target.record.draining || now_ - target.draining_since < settings_.draining_use;
+}
+
+unsigned engine::connection_share(const target_state& target) const {
+    if (!configuration_.has_value()) {
+        return 1;
+    }
+    const auto limits = configuration_->services.find(target.record.service);
+    const unsigned limit =
+        limits == configuration_->services.end() ? 0 : limits->second.max_connections;
+    return proxy::connection_share(limit, hosts_.size());
+}
+
+void engine::place(session& caller) {
+    request& work = *caller.current;
+    work.phase = request_phase::waiting;
+    if (caller.transaction.has_value() && caller.transaction->connection.has_value()) {
+        target_connection* const pinned = pool_.find(*caller.transaction->connection);
+        if (pinned != nullptr) {
+            run_on(caller, *pinned);
+        }
+        return;
+    }
+    const std::optional<core::target_id> chosen = choose_target(caller);
+    if (!chosen.has_value()) {
+        wait(caller, work.waits_for);
+        return;
+    }
+    target_state& target = *pool_.find(*chosen);
+    target_connection* const connection = connect_for(caller, target);
+    if (connection == nullptr) {
+        wait(caller, wait_reason::connection);
+        return;
+    }
+    ++work.attempts;
+    run_on(caller, *connection);
+}
+
+std::optional<core::target_id> engine::choose_target(session& caller) {
+    request& work = *caller.current;
+    service_state& service = services_[work.via->service];
+    work.check_leadership = needs_primary(caller);
+    if (!work.check_leadership) {
+        if (const std::optional<log_point> bound = required_point(caller)) {
+            const std::optional<core::target_id> chosen = choose_replica(caller, *bound);
+            if (chosen.has_value()) {
+                return chosen;
+            }
+            work.waits_for = wait_reason::connection;
+        }
+        work.check_leadership = true;
+    }
+    const std::optional<core::target_id>& primary = service.view.primary();
+    const target_state* const target = primary.has_value() ? pool_.find(*primary) : nullptr;
+    if (target == nullptr || !usable(*target) || promoter_.promoting(work.via->service)) {
+        work.waits_for = wait_reason::primary;
+        return std::nullopt;
+    }
+    if (std::find(work.avoided.begin(), work.avoided.end(), *primary) != work.avoided.end() &&
+        now_ < target->avoid_until) {
+        work.waits_for = wait_reason::connection;
+        return std::nullopt;
+    }
+    return primary;
+}
+
+std::optional<log_point> engine::required_point(const session& caller) const {
+    const request& work = *caller.current;
+    const auto service = services_.find(work.via->service);
+    if (service == services_.end()) {
+        return std::nullopt;
+    }
+    const core::time_point arrived =
+        caller.transaction.has_value() ? caller.transaction->began : work.received;
+    std::optional<log_point> bound =
+        service->second.checks.bound(arrived - work.via->max_staleness);
+    if (bound.has_value() && caller.seen.has_value() &&
+        caller.seen_service == work.via->service && *caller.seen > *bound) {
+        bound = caller.seen;
+    }
+    return bound;
+}
+
+std::optional<core::target_id> engine::choose_replica(session& caller, const log_point& /*bound*/) {
+    const request& work = *caller.current;
+    const std::optional<core::target_id>& primary = services_[work.via->service].view.primary();
+    std::vector<read_candidate> candidates;
+    for (const target_state* const target : pool_.of_service(work.via->service)) {
+        const core::target_id& id = target->record.id;
+        read_candidate candidate;
+        candidate.target = id;
+        candidate.mean_latency = target->mean_latency;
+        candidate.in_use = target->in_use;
+        candidate.slots = target->record.slots;
+        candidate.same_domain = target->record.domain == settings_.domain;
+        candidate.primary = primary == id;
+        candidate.connected = !target->idle.empty();
+        candidate.full = !candidate.connected && (now_ < target->connect_after ||
+                                                  target->connections() >= connection_share(*target));
+        candidate.avoided =
+            !usable(*target) || target->record.draining || now_ < target->avoid_until ||
+            (!candidate.primary && now_ < target->lagging_until) ||
+            std::find(work.avoided.begin(), work.avoided.end(), id) != work.avoided.end();
+        candidates.push_back(std::move(candidate));
+    }
+    const std::optional<std::size_t> chosen = choose_read_target(candidates);
+    return chosen.has_value() ? std::optional<core::target_id>{candidates[*chosen].target}
+                              : std::nullopt;
+}
+
+target_connection* engine::connect_for(session& caller, target_state& target) {
+    if (target_connection* const idle = pool_.acquire(target, caller.id, now_)) {
+        return idle;
+    }
+    open_connection(target);
+    return nullptr;
+}
+
+void engine::open_connection(target_state& target) {
+    if (now_ < target.connect_after || target.connections() >= connection_share(target)) {
+        return;
+    }
+    const core::connection_id id = ids_.next();
+    pool_.open(target, id, now_);
+    out_.emplace_back(open_target{id, target.record.id, target.record.service,
+                                  target.record.address, settings_.connect_timeout});
+}
+
+void engine::wait(session& caller, wait_reason reason) {
+    request& work = *caller.current;
+    work.waits_for = reason;
+    std::vector<session_id>& waiting = services_[work.via->service].waiting;
+    if (std::find(waiting.begin(), waiting.end(), caller.id) != waiting.end()) {
+        return;
+    }
+    const auto rank = [this](session_id id) {
+        const request& other = *sessions_.at(id).current;
+        return std::tuple{other.via->priority, other.received, id};
+    };
+    waiting.insert(std::upper_bound(waiting.begin(), waiting.end(), caller.id,
+                                    [&](session_id left, session_id right) {
+                                        return rank(left) < rank(right);
+                                    }),
+                   caller.id);
+}
+
+void engine::dispatch_waiting(const core::service_id& service) {
+    const std::vector<session_id> waiting = std::exchange(services_[service].waiting, {});
+    for (const session_id id : waiting) {
+        const auto found = sessions_.find(id);
+        if (found != sessions_.end() && found->second.current.has_value() &&
+            found->second.current->phase == request_phase::waiting) {
+            place(found->second);
+        }
+    }
+}
+
+void engine::add_preparation(const session& caller, target_connection& connection,
+                             std::vector<target_command>& commands) {
+    bool reset = !connection.values_known;
+    for (const auto& [name, value] : connection.values) {
+        reset = reset || !caller.values.contains(name);
+    }
+    if (reset) {
+        commands.push_back(internal::command(command_kind::reset));
+        connection.values.clear();
+        connection.prepared.clear();
+        connection.values_known = true;
+    }
+    for (const auto& [name, value] : caller.values) {
+        const auto held = connection.values.find(name);
+        if (held == connection.values.end() || held->second != value) {
+            commands.push_back(internal::command(command_kind::set_value, name, value));
+            connection.values[name] = value;
+        }
+    }
+    const statement& work = caller.current->work;
+    if (work.kind == statement_kind::execute) {
+        const prepared_statement& prepared = caller.prepared.at(work.name);
+        const std::string name = internal::shared_name(prepared);
+        if (connection.prepared.insert(name).second) {
+            commands.push_back(internal::command(prepared.read_only ? command_kind::prepare_read
+                                                                    : command_kind::prepare_write,
+                                                 name, prepared.shape));
+        }
+    }
+}
+
+void engine::send(target_connection& connection, std::vector<target_command> commands,
+                  reply_role role) {
+    for (std::size_t sent = 0; sent < commands.size(); ++sent) {
+        connection.expected.push_back({role, now_});
+    }
+    out_.emplace_back(send_commands{connection.id, std::move(commands)});
+}
+
+void engine::run_on(session& caller, target_connection& connection) {
+    request& work = *caller.current;
+    work.connection = connection.id;
+    std::vector<target_command> commands;
+    if (caller.transaction.has_value() && !caller.transaction->connection.has_value()) {
+        // Later statements may only follow once the transaction is known to have begun: on a
+        // failed begin they would run outside of it.
+        const bool on_primary = work.check_leadership;
+        work.phase = request_phase::beginning;
+        target_command begin = internal::command(on_primary ? command_kind::begin
+                                                            : command_kind::begin_read_only);
+        if (!on_primary) {
+            begin.required_point = required_point(caller);
+        }
+        commands.push_back(std::move(begin));
+        send(connection, std::move(commands), reply_role::transaction_begin);
+        return;
+    }
+    if (!caller.transaction.has_value() && !work.writes && work.check_leadership) {
+        work.phase = request_phase::checking;
+        send(connection, {internal::command(command_kind::begin)}, reply_role::leadership_check);
+        send(connection, {internal::command(command_kind::rollback)}, reply_role::check_end);
+        return;
+    }
+    send_statement(caller, connection, std::move(commands));
+}
+
+void engine::send_statement(session& caller, target_connection& connection,
+                            std::vector<target_command> commands) {
+    request& work = *caller.current;
+    add_preparation(caller, connection, commands);
+    for (std::size_t sent = 0; sent < commands.size(); ++sent) {
+        connection.expected.push_back({reply_role::preparation, now_});
+    }
+    target_command forwarded;
+    forwarded.id = work.work.id;
+    if (work.work.kind == statement_kind::execute) {
+        forwarded.kind = command_kind::execute;
+        forwarded.name = internal::shared_name(caller.prepared.at(work.work.name));
+        forwarded.argument = work.work.argument;
+    } else {
+        forwarded.name = work.work.text;
+    }
+    if (!caller.transaction.has_value() && !work.check_leadership) {
+        forwarded.required_point = required_point(caller);
+    }
+    commands.push_back(std::move(forwarded));
+    connection.expected.push_back({reply_role::caller_statement, now_});
+    work.phase = request_phase::running;
+    work.sent = now_;
+    out_.emplace_back(send_commands{connection.id, std::move(commands)});
+}
+
+void engine::retry_or_refuse(session& caller, const core::target_id& target,
+                             statement_error error) {
+    request& work = *caller.current;
+    work.connection = 0;
+    log(core::log_event::level::info, "statement_retried",
+        {{"id", work.work.id}, {"target", target.value}, {"reason", error.text}});
+    work.last_error = std::move(error);
+    work.avoided.push_back(target);
+    if (work.attempts >= settings_.max_attempts) {
+        refuse(caller, *work.last_error);
+        return;
+    }
+    place(caller);
+}
+
+void engine::refuse(session& caller, statement_error error) {
+    const request& work = *caller.current;
+    log(core::log_event::level::info, "statement_refused",
+        {{"id", work.work.id},
+         {"service", work.via->service.value},
+         {"reason", error.text},
+         {"attempts", std::to_string(work.attempts)},
+         {"waited_ms", std::to_string((now_ - work.received).count() / 1000)}});
+    std::erase(services_[work.via->service].waiting, caller.id);
+    caller.current.reset();
+    if (caller.transaction.has_value()) {
+        detach_transaction(caller);
+        caller.state = session_state::failed_transaction;
+    }
+    answer_error(caller, std::move(error));
+    close_if_done(caller);
+}
+
+void engine::expire(session& caller) {
+    const request& work = *caller.current;
+    if (work.phase != request_phase::running) {
+        const core::connection_id held = work.connection;
+        refuse(caller, {statement_error_kind::busy,
+                        work.waits_for == wait_reason::primary ? "no primary" : "no connection free",
+                        settings_.search_interval});
+        if (held != 0) {
+            drop_connection(held);
+        }
+        return;
+    }
+    const bool may_have_run = work.writes || work.work.kind == statement_kind::commit;
+    const core::connection_id held = work.connection;
+    refuse(caller, {may_have_run ? statement_error_kind::in_doubt : statement_error_kind::timeout,
+                    "the target did not answer in time", std::nullopt});
+    drop_connection(held);
+}
+
+} // namespace lovagemoor::proxy
--- /dev/null
+++ b/packages/proxy/src/engine/engine_sessions.cpp
@@ -0,0 +1,188 @@
+#include <lovagemoor/proxy/engine/engine.hpp>
+
+#include <utility>
+
+namespace lovagemoor::proxy {
+
+std::shared_ptr<const route> engine::find_route(const std::string& database) const {
+    if (!configuration_.has_value()) {
+        return nullptr;
+    }
+    const auto found = configuration_->routes.find(database);
+    return found == configuration_->routes.end() ? nullptr : found->second;
+}
+
+bool engine::writes(const session& caller, const statement& work) const {
+    if (work.kind == statement_kind::execute) {
+        const auto found = caller.prepared.find(work.name);
+        return found != caller.prepared.end() && !found->second.read_only;
+    }
+    return work.kind == statement_kind::write;
+}
+
+void engine::start_backlog(session_id id) {
+    for (;;) {
+        const auto found = sessions_.find(id);
+        if (found == sessions_.end() || found->second.current.has_value() ||
+            found->second.backlog.empty()) {
+            return;
+        }
+        const statement next = std::move(found->second.backlog.front());
+        found->second.backlog.pop_front();
+        start_statement(found->second, next);
+    }
+}
+
+void engine::start_statement(session& caller, const statement& work) {
+    if (answer_locally(caller, work)) {
+        return;
+    }
+    const std::shared_ptr<const route> via = caller.transaction.has_value()
+                                                 ? caller.transaction->via
+                                                 : find_route(caller.database);
+    if (via == nullptr) {
+        if (configuration_.has_value()) {
+            answer_error(caller,
+                         {statement_error_kind::unknown_database, "no route", std::nullopt});
+        } else {
+            answer_error(caller, {statement_error_kind::busy, "no configuration yet",
+                                  settings_.search_interval});
+        }
+        return;
+    }
+    start_request(caller, work, via);
+}
+
+bool engine::answer_locally(session& caller, const statement& work) {
+    if (caller.transaction_error.has_value() && caller.state == session_state::in_transaction) {
+        caller.state = session_state::failed_transaction;
+        if (work.kind != statement_kind::rollback) {
+            answer_error(caller, *std::exchange(caller.transaction_error, std::nullopt));
+            return true;
+        }
+    }
+    if (work.kind == statement_kind::rollback) {
+        roll_back(caller);
+        return true;
+    }
+    if (caller.state == session_state::failed_transaction) {
+        answer_error(caller, {statement_error_kind::malformed,
+                              "the transaction failed; only ROLLBACK ends it", std::nullopt});
+        return true;
+    }
+    switch (work.kind) {
+    case statement_kind::begin:
+        begin_transaction(caller, work);
+        return true;
+    case statement_kind::commit:
+        if (caller.state == session_state::idle) {
+            answer_error(caller,
+                         {statement_error_kind::malformed, "no transaction", std::nullopt});
+            return true;
+        }
+        return false;
+    case statement_kind::set:
+        caller.values[work.name] = work.argument;
+        answer_success(caller);
+        return true;
+    case statement_kind::prepare:
+        caller.prepared[work.name] = prepared_statement{work.read_only, work.argument};
+        answer_success(caller);
+        return true;
+    case statement_kind::deallocate:
+        if (caller.prepared.erase(work.name) == 0) {
+            answer_error(caller,
+                         {statement_error_kind::not_prepared, "unknown name", std::nullopt});
+        } else {
+            answer_success(caller);
+        }
+        return true;
+    case statement_kind::execute:
+        if (!caller.prepared.contains(work.name)) {
+            answer_error(caller,
+                         {statement_error_kind::not_prepared, "unknown name", std::nullopt});
+            return true;
+        }
+        return false;
+    case statement_kind::unknown:
+        answer_error(caller,
+                     {statement_error_kind::malformed, "unknown statement", std::nullopt});
+        return true;
+    default:
+        return false;
+    }
+}
+
+void engine::begin_transaction(session& caller, const statement& work) {
+    if (caller.state != session_state::idle) {
+        answer_error(
+            caller, {statement_error_kind::malformed, "a transaction is open", std::nullopt});
+        return;
+    }
+    const std::shared_ptr<const route> via = find_route(caller.database);
+    if (via == nullptr) {
+        answer_error(caller, {statement_error_kind::unknown_database, "no route", std::nullopt});
+        return;
+    }
+    transaction& begun = caller.transaction.emplace();
+    begun.read_only = work.read_only;
+    begun.via = via;
+    begun.began = now_;
+    begun.idle_since = now_;
+    caller.state = session_state::in_transaction;
+    answer_success(caller);
+}
+
+void engine::roll_back(session& caller) {
+    detach_transaction(caller);
+    caller.transaction_error.reset();
+    caller.state = session_state::idle;
+    answer_success(caller);
+    close_if_done(caller);
+}
+
+void engine::detach_transaction(session& caller) {
+    if (!caller.transaction.has_value()) {
+        return;
+    }
+    const std::optional<core::connection_id> id = caller.transaction->connection;
+    caller.transaction.reset();
+    if (!id.has_value()) {
+        return;
+    }
+    if (target_connection* const connection = pool_.find(*id)) {
+        connection->values_known = false;
+        send(*connection, {target_command{command_kind::rollback, {}, {}, {}, std::nullopt, 0}},
+             reply_role::release);
+    }
+}
+
+void engine::answer(session& caller, statement_result result) {
+    result.state = caller.state;
+    if (!result.point.has_value()) {
+        result.point = caller.seen;
+    }
+    if (caller.transaction.has_value()) {
+        caller.transaction->idle_since = now_;
+    }
+    out_.emplace_back(answer_statement{caller.id, std::move(result)});
+}
+
+void engine::answer_success(session& caller) {
+    answer(caller, statement_result{});
+}
+
+void engine::answer_error(session& caller, statement_error error) {
+    statement_result result;
+    result.error = std::move(error);
+    answer(caller, std::move(result));
+}
+
+void engine::close_if_done(session& caller) {
+    if (caller.close_when_idle && caller.state == session_state::idle &&
+        !caller.current.has_value() && caller.backlog.empty()) {
+        out_.emplace_back(close_session{caller.id});
+    }
+}
+
+} // namespace lovagemoor::proxy
--- /dev/null
+++ b/packages/proxy/src/engine/engine_upkeep.cpp
@@ -0,0 +1,177 @@
+#include <lovagemoor/proxy/engine/engine.hpp>
+
+#include <lovagemoor/core/overloaded.hpp>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace lovagemoor::proxy {
+
+namespace internal {
+
+namespace {
+
+/// Services without a statement for this long are not probed for fresh positions.
+constexpr core::duration service_idle_after = std::chrono::seconds{10};
+
+/// Part of the stop grace that open transactions get, as a divisor.
+constexpr int transaction_grace_divisor = 2;
+
+} // namespace
+
+} // namespace internal
+
+void engine::keep_sessions() {
+    std::vector<session_id> expired;
+    for (auto& [id, caller] : sessions_) {
+        if (caller.current.has_value()) {
+            if (now_ >= caller.current->deadline) {
+                expired.push_back(id);
+            }
+        } else if (caller.transaction.has_value() && configuration_.has_value() &&
+                   !caller.transaction_error.has_value() &&
+                   now_ - caller.transaction->idle_since >
+                       configuration_->transaction_idle_timeout) {
+            log(core::log_event::level::info, "transaction_idle",
+                {{"session", std::to_string(id)}});
+            const transaction kept = *caller.transaction;
+            detach_transaction(caller);
+            caller.transaction = kept;
+            caller.transaction->connection.reset();
+            caller.transaction_error = statement_error{
+                statement_error_kind::aborted, "transaction idle for too long", std::nullopt};
+        }
+    }
+    for (const session_id id : expired) {
+        const auto found = sessions_.find(id);
+        if (found != sessions_.end() && found->second.current.has_value()) {
+            expire(found->second);
+            start_backlog(id);
+        }
+    }
+}
+
+void engine::keep_connections() {
+    std::vector<core::connection_id> silent;
+    for (const auto& [id, connection] : pool_.connections()) {
+        if (!connection.expected.empty() &&
+            connection.expected.front().role == reply_role::probe &&
+            now_ - connection.expected.front().sent > settings_.probe_timeout) {
+            silent.push_back(id);
+        }
+    }
+    for (const core::connection_id id : silent) {
+        const core::target_id target = pool_.find(id)->target;
+        log(core::log_event::level::warning, "probe_unanswered", {{"target", target.value}});
+        on_target_failure(target);
+        drop_connection(id);
+    }
+}
+
+void engine::keep_targets() {
+    std::vector<core::target_id> gone;
+    for (auto& [id, target] : pool_.targets()) {
+        if (target.removed_at.has_value() && !usable(target) && target.in_use == 0) {
+            gone.push_back(id);
+        }
+    }
+    for (const core::target_id& id : gone) {
+        forget(id);
+    }
+}
+
+void engine::keep_service(const core::service_id& id, service_state& state) {
+    if (!state.waiting.empty()) {
+        dispatch_waiting(id);
+    }
+    if (now_ - state.last_use > internal::service_idle_after) {
+        return;
+    }
+    const std::optional<core::target_id> primary = state.view.primary();
+    target_state* const target = primary.has_value() ? pool_.find(*primary) : nullptr;
+    if (target == nullptr) {
+        search_primary(id, state);
+        return;
+    }
+    const std::optional<core::time_point> newest = state.checks.newest();
+    const bool due = !newest.has_value() || now_ - *newest > settings_.check_interval;
+    if (due && now_ - state.last_probe > settings_.check_interval / 2) {
+        state.last_probe = now_;
+        probe(*target);
+    }
+}
+
+void engine::search_primary(const core::service_id& id, service_state& state) {
+    if (now_ - state.last_probe < settings_.search_interval) {
+        return;
+    }
+    state.last_probe = now_;
+    for (target_state* const target : pool_.of_service(id)) {
+        probe(*target);
+    }
+}
+
+void engine::probe(target_state& target) {
+    target_connection* const connection = pool_.acquire(target, 0, now_);
+    if (connection == nullptr) {
+        if (target.connections() == 0) {
+            open_connection(target);
+        }
+        return;
+    }
+    send(*connection, {target_command{command_kind::begin, {}, {}, {}, std::nullopt, 0}},
+         reply_role::probe);
+    send(*connection, {target_command{command_kind::rollback, {}, {}, {}, std::nullopt, 0}},
+         reply_role::check_end);
+}
+
+void engine::keep_stopping() {
+    if (!stopping_since_.has_value()) {
+        return;
+    }
+    const core::duration since = now_ - *stopping_since_;
+    std::vector<session_id> idle;
+    for (auto& [id, caller] : sessions_) {
+        caller.close_when_idle = true;
+        const bool open_transaction = caller.state != session_state::idle;
+        const bool may_close =
+            since > settings_.stop_grace / 3 && !caller.current.has_value() && !open_transaction;
+        const bool must_abort = open_transaction && !caller.current.has_value() &&
+                                since > settings_.stop_grace / internal::transaction_grace_divisor;
+        if (may_close || must_abort) {
+            idle.push_back(id);
+        }
+    }
+    for (const session_id id : idle) {
+        out_.emplace_back(close_session{id});
+        on(session_closed{id});
+    }
+    if (sessions_.empty() && since > settings_.stop_grace / 3) {
+        out_.emplace_back(stop_process{});
+    }
+}
+
+void engine::run_promoter() {}
+
+void engine::inspect_targets(const core::service_id& /*service*/, core::term_number /*hold_term*/) {}
+
+void engine::on(const suspicion_reported& /*input*/) {}
+
+void engine::on(const suspicion_withdrawn& /*input*/) {}
+
+void engine::on(const duty_claimed& input) {
+    promoter_.on_duty(now_, input);
+    run_promoter();
+}
+
+void engine::on(const duty_released& /*input*/) {
+    promoter_.on_duty_released();
+}
+
+void engine::on(const promotion_answered& input) {
+    promoter_.on_promotion(now_, input);
+    run_promoter();
+}
+
+} // namespace lovagemoor::proxy
--- /dev/null
+++ b/packages/proxy/src/pool/target_pool.cpp
@@ -0,0 +1,129 @@
+#include <lovagemoor/proxy/pool/target_pool.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagemoor::proxy {
+
+std::vector<target_connection> target_pool::update(const target_record& record,
+                                                   core::time_point now) {
+    std::vector<target_connection> obsolete;
+    const auto found = targets_.find(record.id);
+    if (found != targets_.end()) {
+        const target_record& known = found->second.record;
+        if (known.address != record.address || known.started_ms != record.started_ms ||
+            known.service != record.service) {
+            obsolete = remove(record.id);
+        }
+    }
+    target_state& state = targets_[record.id];
+    if (record.draining && !state.record.draining) {
+        state.draining_since = now;
+    }
+    state.record = record;
+    state.removed_at.reset();
+    return obsolete;
+}
+
+std::vector<target_connection> target_pool::remove(const core::target_id& target) {
+    std::vector<target_connection> orphans;
+    for (auto entry = connections_.begin(); entry != connections_.end();) {
+        if (entry->second.target == target) {
+            orphans.push_back(std::move(entry->second));
+            entry = connections_.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+    targets_.erase(target);
+    return orphans;
+}
+
+target_state* target_pool::find(const core::target_id& target) {
+    const auto found = targets_.find(target);
+    return found == targets_.end() ? nullptr : &found->second;
+}
+
+target_connection* target_pool::find(core::connection_id connection) {
+    const auto found = connections_.find(connection);
+    return found == connections_.end() ? nullptr : &found->second;
+}
+
+std::vector<target_state*> target_pool::of_service(const core::service_id& service) {
+    std::vector<target_state*> found;
+    for (auto& [id, state] : targets_) {
+        if (state.record.service == service) {
+            found.push_back(&state);
+        }
+    }
+    return found;
+}
+
+target_connection& target_pool::open(target_state& target, core::connection_id id,
+                                     core::time_point now) {
+    target_connection& connection = connections_[id];
+    connection.id = id;
+    connection.target = target.record.id;
+    connection.phase_since = now;
+    ++target.opening;
+    return connection;
+}
+
+void target_pool::on_opened(target_connection& connection, core::time_point now) {
+    detach(connection);
+    connection.phase = connection_phase::idle;
+    connection.phase_since = now;
+    if (target_state* const target = find(connection.target)) {
+        target->idle.push_back(connection.id);
+    }
+}
+
+target_connection* target_pool::acquire(target_state& target, session_id session,
+                                        core::time_point now) {
+    if (target.idle.empty()) {
+        return nullptr;
+    }
+    const auto same_user = std::find_if(
+        target.idle.begin(), target.idle.end(),
+        [&](core::connection_id id) { return connections_.at(id).user == session; });
+    const auto chosen = same_user == target.idle.end() ? target.idle.end() - 1 : same_user;
+    target_connection& connection = connections_.at(*chosen);
+    target.idle.erase(chosen);
+    connection.phase = connection_phase::in_use;
+    connection.phase_since = now;
+    connection.user = session;
+    ++target.in_use;
+    return &connection;
+}
+
+void target_pool::release(target_connection& connection, core::time_point now) {
+    on_opened(connection, now);
+}
+
+void target_pool::erase(core::connection_id connection) {
+    const auto found = connections_.find(connection);
+    if (found != connections_.end()) {
+        detach(found->second);
+        connections_.erase(found);
+    }
+}
+
+void target_pool::detach(const target_connection& connection) {
+    target_state* const target = find(connection.target);
+    if (target == nullptr) {
+        return;
+    }
+    switch (connection.phase) {
+    case connection_phase::opening:
+        --target->opening;
+        break;
+    case connection_phase::idle:
+        std::erase(target->idle, connection.id);
+        break;
+    case connection_phase::in_use:
+        --target->in_use;
+        break;
+    }
+}
+
+} // namespace lovagemoor::proxy
--- /dev/null
+++ b/packages/proxy/src/registry/lease_keeper.cpp
@@ -0,0 +1,75 @@
+#include <lovagemoor/proxy/registry/lease_keeper.hpp>
+
+#include <utility>
+
+namespace lovagemoor::proxy {
+
+namespace internal {
+
+namespace {
+
+/// Renewals in the duration of a lease, so that two may fail.
+constexpr int renewals_per_lease = 3;
+
+/// Pause after a failed call.
+constexpr core::duration retry_pause = std::chrono::milliseconds{500};
+
+} // namespace
+
+} // namespace internal
+
+lease_keeper::lease_keeper(std::string key, std::string value, std::chrono::milliseconds duration)
+    : key_{std::move(key)}, value_{std::move(value)}, duration_{duration} {}
+
+std::optional<lease_keeper::call> lease_keeper::next_call(core::time_point now) {
+    if (under_way_ || now < due_) {
+        return std::nullopt;
+    }
+    under_way_ = true;
+    switch (stage_) {
+    case stage::no_lease:
+        return grant_lease{duration_};
+    case stage::not_written:
+        return write_items{{}, {item_write{key_, value_, lease_}}, {}};
+    case stage::kept:
+        break;
+    }
+    return renew_lease{lease_};
+}
+
+void lease_keeper::on_lease(core::time_point now, const lease_outcome& outcome) {
+    under_way_ = false;
+    if (outcome.status == registry_status::lease_ended) {
+        stage_ = stage::no_lease;
+        due_ = now;
+        return;
+    }
+    if (outcome.status != registry_status::done) {
+        due_ = now + internal::retry_pause;
+        return;
+    }
+    if (stage_ == stage::no_lease) {
+        stage_ = stage::not_written;
+        lease_ = outcome.lease;
+        due_ = now;
+        return;
+    }
+    due_ = now + duration_ / internal::renewals_per_lease;
+}
+
+void lease_keeper::on_written(core::time_point now, const write_outcome& outcome) {
+    under_way_ = false;
+    if (outcome.status == registry_status::lease_ended) {
+        stage_ = stage::no_lease;
+        due_ = now;
+        return;
+    }
+    if (outcome.status != registry_status::done) {
+        due_ = now + internal::retry_pause;
+        return;
+    }
+    stage_ = stage::kept;
+    due_ = now + duration_ / internal::renewals_per_lease;
+}
+
+} // namespace lovagemoor::proxy
--- a/packages/settings/src/key_table.cpp
+++ b/packages/settings/src/key_table.cpp
@@ -41,7 +41,7 @@
 
 /// @brief A duration in the core's settings, given in whole milliseconds.
 template <typename Duration>
-key_entry duration_key(std::string section, std::string name, Duration core_settings::*field,
+host_key duration_key(std::string section, std::string name, Duration core_settings::*field,
                        milliseconds lowest, milliseconds highest, std::string documentation) {
     const std::string range =
         std::to_string(lowest.count()) + " to " + std::to_string(highest.count());
@@ -59,7 +59,7 @@
 
 /// @brief A number in the core's settings.
 template <typename Number>
-key_entry number_key(std::string section, std::string name, Number core_settings::*field,
+host_key number_key(std::string section, std::string name, Number core_settings::*field,
                      std::string unit, std::type_identity_t<Number> lowest,
                      std::type_identity_t<Number> highest, std::string documentation) {
     const std::string range = number_text(lowest) + " to " + number_text(highest);
@@ -76,7 +76,7 @@
 
 /// @brief A key whose text is checked by a function and stored by another one.
 template <typename Parse, typename Store>
-key_entry text_key(key_description description, Parse parse, Store store) {
+host_key text_key(key_description description, Parse parse, Store store) {
     return {std::move(description),
             [parse, store](host_settings& settings, const std::string& text) -> result<void> {
                 BOOST_OUTCOME_TRY(value, parse(text));
@@ -87,7 +87,7 @@
 
 /// @brief A comma-separated list; the function parses one element.
 template <typename Element, typename Parse>
-key_entry list_key(key_description description, std::vector<Element> host_settings::*field,
+host_key list_key(key_description description, std::vector<Element> host_settings::*field,
                    Parse parse) {
     return {std::move(description),
             [field, parse](host_settings& settings, const std::string& text) -> result<void> {
@@ -126,12 +126,12 @@
         [field](host_settings& settings, std::string value) { settings.*field = std::move(value); };
 }
 
-void append(std::vector<key_entry>& table, std::vector<key_entry> entries) {
+void append(std::vector<host_key>& table, std::vector<host_key> entries) {
     table.insert(table.end(), std::make_move_iterator(entries.begin()),
                  std::make_move_iterator(entries.end()));
 }
 
-std::vector<key_entry> host_keys() {
+std::vector<host_key> host_keys() {
     return {
         text_key({"host", "id", "name", "", "", "", true, "Unique identifier of this host."},
                  parse_name,
@@ -169,7 +169,7 @@
     };
 }
 
-std::vector<key_entry> platform_keys() {
+std::vector<host_key> platform_keys() {
     return {
         list_key({"platform", "endpoints", "list of ip:port", "", "", "", true,
                   "Endpoints of the platform's key-value service."},
@@ -181,7 +181,7 @@
     };
 }
 
-std::vector<key_entry> membership_keys() {
+std::vector<host_key> membership_keys() {
     const std::string section = "membership";
     return {
         list_key({section, "seeds", "list of id@tcp://ip:port", "", "", "", false,
@@ -206,7 +206,7 @@
     };
 }
 
-std::vector<key_entry> promotion_keys() {
+std::vector<host_key> promotion_keys() {
     const std::string section = "promotion";
     return {
         duration_key(section, "status_interval_ms", &core_settings::status_interval, 10ms, one_hour,
@@ -228,7 +228,7 @@
     };
 }
 
-std::vector<key_entry> acknowledgement_keys() {
+std::vector<host_key> acknowledgement_keys() {
     const std::string section = "acknowledgement";
     return {
         duration_key(section, "attest_wait_ms", &core_settings::attest_wait, 0ms, 60s,
@@ -238,7 +238,7 @@
     };
 }
 
-std::vector<key_entry> request_keys() {
+std::vector<host_key> request_keys() {
     const std::string section = "requests";
     return {
         duration_key(section, "max_timeout_ms", &core_settings::max_timeout, 1ms, one_hour,
@@ -258,7 +258,7 @@
     };
 }
 
-std::vector<key_entry> scheduling_keys() {
+std::vector<host_key> scheduling_keys() {
     const std::string section = "scheduling";
     return {
         duration_key(section, "bulk_max_wait_ms", &core_settings::bulk_max_wait, 0ms, one_hour,
@@ -279,7 +279,7 @@
     };
 }
 
-std::vector<key_entry> log_keys() {
+std::vector<host_key> log_keys() {
     return {text_key({"log", "level", "debug, info, warning or error", "", "", "info", false,
                       "Lowest level of events that are logged."},
                      parse_level, [](host_settings& settings, core::log_event::level value) {
@@ -287,8 +287,8 @@
                      })};
 }
 
-std::vector<key_entry> make_table() {
-    std::vector<key_entry> table = host_keys();
+std::vector<host_key> make_table() {
+    std::vector<host_key> table = host_keys();
     append(table, platform_keys());
     append(table, membership_keys());
     append(table, request_keys());
@@ -301,8 +301,8 @@
 
 } // namespace
 
-const std::vector<key_entry>& key_table() {
-    static const std::vector<key_entry> table = make_table();
+const std::vector<host_key>& key_table() {
+    static const std::vector<host_key> table = make_table();
     return table;
 }
 
--- /dev/null
+++ b/packages/settings/src/session_settings.cpp
@@ -0,0 +1,159 @@
+#include <lovagemoor/settings/session_settings.hpp>
+
+#include "ini_reader.hpp"
+#include "value_parser.hpp"
+
+#include <boost/outcome/try.hpp>
+
+#include <cstdint>
+#include <utility>
+
+namespace lovagemoor::settings {
+
+namespace internal {
+
+namespace {
+
+using session_key = key_entry<session_settings>;
+
+/// @brief A key whose text is checked by a function and stored by another one.
+template <typename Parse, typename Store>
+session_key session_text_key(key_description description, Parse parse, Store store) {
+    return {std::move(description),
+            [parse, store](session_settings& settings, const std::string& text) -> result<void> {
+                BOOST_OUTCOME_TRY(value, parse(text));
+                store(settings, std::move(value));
+                return boost::outcome_v2::success();
+            }};
+}
+
+session_key address_key(std::string section, std::string name, bool required, bool listens,
+                        std::string session_settings::*field, std::string documentation) {
+    return session_text_key(
+        {std::move(section), std::move(name), "ip:port", "", "", "", required,
+         std::move(documentation)},
+        [listens](const std::string& text) { return parse_address(text, listens); },
+        [field](session_settings& settings, std::string value) {
+            settings.*field = std::move(value);
+        });
+}
+
+/// @brief A whole number in a range, stored as a duration or a count.
+template <typename Value>
+session_key range_key(std::string section, std::string name, std::string unit,
+                      std::int64_t initial, std::int64_t lowest, std::int64_t highest,
+                      Value session_settings::*field, std::string documentation) {
+    const std::string range = std::to_string(lowest) + " to " + std::to_string(highest);
+    return session_text_key(
+        {std::move(section), std::move(name), "whole number", std::move(unit), range,
+         std::to_string(initial), false, std::move(documentation)},
+        [lowest, highest, range](const std::string& text) -> result<std::int64_t> {
+            BOOST_OUTCOME_TRY(number, parse_number<std::int64_t>(text));
+            if (number < lowest || number > highest) {
+                return value_error(settings_error_kind::out_of_range,
+                                   text + " is not from " + range);
+            }
+            return number;
+        },
+        [field](session_settings& settings, std::int64_t value) {
+            settings.*field = Value(value);
+        });
+}
+
+constexpr std::int64_t one_minute_ms = 60'000;
+
+/// @brief A time in seconds, with fractions.
+session_key seconds_key(std::string section, std::string name, std::chrono::milliseconds initial,
+                        std::chrono::milliseconds session_settings::*field,
+                        std::string documentation) {
+    constexpr double shortest = 0.1;
+    constexpr double longest = 60;
+    return session_text_key(
+        {std::move(section), std::move(name), "number", "s", "0.1 to 60",
+         std::to_string(initial.count() / 1000), false, std::move(documentation)},
+        [](const std::string& text) -> result<double> {
+            BOOST_OUTCOME_TRY(number, parse_number<double>(text));
+            if (!(number >= shortest && number <= longest)) {
+                return value_error(settings_error_kind::out_of_range,
+                                   text + " is not from 0.1 to 60");
+            }
+            return number;
+        },
+        [field](session_settings& settings, double value) {
+            settings.*field = std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::duration<double>{value});
+        });
+}
+
+key_list<session_settings> make_session_table() {
+    const session_settings initial;
+    return {
+        session_text_key({"host", "id", "name", "", "", "", true, "Unique name of this host."},
+                         parse_name,
+                         [](session_settings& settings, std::string value) {
+                             settings.id.value = std::move(value);
+                         }),
+        session_text_key({"host", "failure_domain", "name", "", "", "", true,
+                          "Failure domain in which this host runs."},
+                         parse_name,
+                         [](session_settings& settings, std::string value) {
+                             settings.domain.value = std::move(value);
+                         }),
+        address_key("host", "caller_listen", true, true, &session_settings::caller_listen,
+                    "Address for callers' sessions."),
+        address_key("host", "ready_listen", true, true, &session_settings::ready_listen,
+                    "HTTP address for the load balancer's probes."),
+        address_key("host", "metrics_listen", false, true, &session_settings::metrics_listen,
+                    "HTTP address for Prometheus; empty for no metrics endpoint."),
+        range_key("host", "max_sessions", "", static_cast<std::int64_t>(initial.max_sessions), 1,
+                  1'000'000, &session_settings::max_sessions,
+                  "Callers' connections at a time; further ones are closed."),
+        seconds_key("host", "stop_grace_s", initial.stop_grace, &session_settings::stop_grace,
+                    "Time from the request to stop until the process is killed."),
+        address_key("registry", "address", true, false, &session_settings::registry_address,
+                    "Address of the platform's key-value store."),
+        address_key("registry", "promotion_address", false, false,
+                    &session_settings::promotion_address,
+                    "Address that takes promotions; empty if this host promotes no targets."),
+        range_key("registry", "call_timeout_ms", "ms", initial.call_timeout.count(), 50,
+                  one_minute_ms, &session_settings::call_timeout,
+                  "Longest wait for an answer of the registry."),
+        range_key("targets", "drain_ms", "ms", initial.target_drain.count(), 100, one_minute_ms,
+                  &session_settings::target_drain, "Notice that a target gives before it stops."),
+        session_text_key({"log", "level", "debug, info, warning or error", "", "", "info", false,
+                          "Lowest level of events that are logged."},
+                         parse_level,
+                         [](session_settings& settings, core::log_event::level value) {
+                             settings.log_level = value;
+                         }),
+    };
+}
+
+const key_list<session_settings>& session_table() {
+    static const key_list<session_settings> table = make_session_table();
+    return table;
+}
+
+result<void> accept_any(const session_settings& /*settings*/) {
+    return boost::outcome_v2::success();
+}
+
+} // namespace
+
+} // namespace internal
+
+result<session_settings> parse_session_settings(std::istream& input, const std::string& file) {
+    return internal::parse_ini<session_settings>(input, file, internal::session_table(),
+                                                 internal::accept_any);
+}
+
+result<session_settings> read_session_settings(const std::filesystem::path& file) {
+    return internal::read_ini_file<session_settings>(file, internal::session_table(),
+                                                     internal::accept_any);
+}
+
+std::string render_session_documentation() {
+    return internal::render_ini(internal::session_table());
+}
+
+} // namespace lovagemoor::settings
--- a/programs/lovagemoord/src/main.cpp
+++ b/programs/lovagemoord/src/main.cpp
@@ -1,6 +1,10 @@
+#ifdef LOVAGEMOOR_RPC_PEERS
 #include "host_process.hpp"
+#endif
+#include "session_host.hpp"
 
 #include <lovagemoor/settings/host_settings.hpp>
+#include <lovagemoor/settings/session_settings.hpp>
 
 #include <gflags/gflags.h>
 
@@ -14,6 +18,7 @@
 #include <string>
 
 DEFINE_string(settings, "", "settings file in INI format");
+DEFINE_bool(sessions, false, "serve statement sessions on the platform");
 DEFINE_bool(check, false, "validate the settings file and exit");
 DEFINE_bool(help_settings, false, "print all settings with their defaults and exit");
 
@@ -27,6 +32,8 @@
     exit_settings = 3,
 };
 
+#ifdef LOVAGEMOOR_RPC_PEERS
+
 constexpr std::size_t shortest_session_key = 16;
 constexpr long signal_poll_nanoseconds = 100'000'000;
 
@@ -85,23 +92,49 @@
     return exit_ok;
 }
 
+#else
+
+int run() {
+    std::cerr << "lovagemoord: this build only serves --sessions\n";
+    return exit_usage;
+}
+
+#endif
+
+int run_sessions() {
+    const lovagemoor::settings::result<lovagemoor::settings::session_settings> settings =
+        lovagemoor::settings::read_session_settings(FLAGS_settings);
+    if (!settings) {
+        std::cerr << to_string(settings.error()) << "\n";
+        return exit_settings;
+    }
+    if (FLAGS_check) {
+        std::cout << FLAGS_settings << ": valid\n";
+        return exit_ok;
+    }
+    lovagemoor::session_host host{settings.value()};
+    host.run();
+    return exit_ok;
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
     try {
         gflags::SetUsageMessage("runs a host of the database proxy\n\n"
-                                "  lovagemoord --settings=FILE [--check]\n"
-                                "  lovagemoord --help_settings");
+                                "  lovagemoord [--sessions] --settings=FILE [--check]\n"
+                                "  lovagemoord [--sessions] --help_settings");
         gflags::ParseCommandLineFlags(&argc, &argv, true);
         if (FLAGS_help_settings) {
-            std::cout << lovagemoor::settings::render_documentation();
+            std::cout << (FLAGS_sessions ? lovagemoor::settings::render_session_documentation()
+                                         : lovagemoor::settings::render_documentation());
             return exit_ok;
         }
         if (FLAGS_settings.empty() || argc != 1) {
             std::cerr << gflags::ProgramUsage() << "\n";
             return exit_usage;
         }
-        return run();
+        return FLAGS_sessions ? run_sessions() : run();
     } catch (const std::exception& error) {
         std::cerr << "lovagemoord: " << error.what() << "\n";
         return exit_failed;
--- /dev/null
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -0,0 +1,309 @@
+#include "session_host.hpp"
+
+#include <lovagemoor/core/overloaded.hpp>
+#include <lovagemoor/platform_adapter/registry_documents.hpp>
+#include <lovagemoor/platform_adapter/statement_protocol.hpp>
+
+#include <csignal>
+#include <ctime>
+#include <iostream>
+#include <utility>
+
+namespace lovagemoor {
+
+namespace internal {
+
+namespace {
+
+/// Keys of this project in the registry.
+constexpr std::string_view hosts_prefix = "lovagemoor/hosts/";
+
+/// A host that stopped without a word is forgotten after this time; its connections at targets are
+/// gone by then.
+constexpr std::chrono::seconds registration_duration{9};
+
+/// Pause between checks whether a call to the registry is due.
+constexpr std::chrono::milliseconds registry_interval{100};
+
+/// @return Time on a clock that also counts while the machine is suspended: the age of a proof of
+/// leadership must not stop growing then.
+core::time_point now() {
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return core::time_point{std::chrono::duration_cast<core::duration>(
+        std::chrono::seconds{time.tv_sec} + std::chrono::nanoseconds{time.tv_nsec})};
+}
+
+proxy::engine_settings engine_settings_of(const settings::session_settings& settings) {
+    proxy::engine_settings result;
+    result.host = settings.id;
+    result.domain = settings.domain;
+    result.stop_grace = settings.stop_grace;
+    result.draining_use = settings.target_drain / 2;
+    return result;
+}
+
+std::string last_part(const std::string& key) {
+    return key.substr(key.rfind('/') + 1);
+}
+
+} // namespace
+
+} // namespace internal
+
+session_host::session_host(const settings::session_settings& settings)
+    : settings_{settings},
+      logger_{settings.id, settings.log_level, std::cout},
+      engine_{internal::engine_settings_of(settings)},
+      callers_{context_, settings.caller_listen, settings.max_sessions,
+               platform_adapter::make_statement_codec(),
+               [this](const proxy::event& input) { handle(input); }},
+      targets_{context_, settings.id.value, platform_adapter::make_statement_codec(),
+               [this](const proxy::event& input) { handle(input); }},
+      ready_server_{context_, settings.ready_listen,
+                    [this](const std::string& path) { return answer_path(path); }},
+      store_{context_, settings.registry_address, settings.call_timeout},
+      configuration_follower_{std::string{platform_adapter::configuration_key}},
+      targets_follower_{std::string{platform_adapter::targets_prefix}},
+      hosts_follower_{std::string{internal::hosts_prefix}},
+      registration_{std::string{internal::hosts_prefix} + settings.id.value, settings.domain.value,
+                    internal::registration_duration},
+      timer_{context_},
+      registry_timer_{context_},
+      signals_{context_, SIGTERM, SIGINT} {
+    if (!settings.metrics_listen.empty()) {
+        metrics_server_.emplace(context_, settings.metrics_listen,
+                                [this](const std::string& path) { return answer_path(path); });
+    }
+    if (!settings.promotion_address.empty()) {
+        promotions_.emplace(context_, settings.promotion_address, settings.id.value,
+                            settings.call_timeout);
+    }
+}
+
+void session_host::run() {
+    log(core::log_event::level::info, "started",
+        {{"failure_domain", settings_.domain.value},
+         {"caller_listen", settings_.caller_listen},
+         {"registry", settings_.registry_address}});
+    wait_for_signals();
+    keep_registry();
+    schedule_timer();
+    context_.run();
+    log(core::log_event::level::info, "stopped", {});
+}
+
+void session_host::wait_for_signals() {
+    signals_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
+        if (!error) {
+            handle(proxy::stop_requested{});
+            wait_for_signals();
+        }
+    });
+}
+
+void session_host::schedule_timer() {
+    const core::duration pause =
+        std::max(core::duration{1000}, engine_.next_wakeup() - internal::now());
+    timer_.expires_after(pause);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            handle(proxy::timer_expired{});
+            schedule_timer();
+        }
+    });
+}
+
+void session_host::handle(const proxy::event& input) {
+    for (const proxy::action& action : engine_.handle(internal::now(), input)) {
+        perform_any(action);
+    }
+    targets_.flush();
+    callers_.flush();
+}
+
+void session_host::perform_any(const proxy::action& action) {
+    std::visit(
+        core::overloaded{
+            [this](const proxy::accept_session& value) { callers_.perform(value); },
+            [this](const proxy::answer_statement& value) { callers_.perform(value); },
+            [this](const proxy::close_session& value) { callers_.perform(value); },
+            [this](const proxy::open_target& value) { targets_.perform(value); },
+            [this](const proxy::send_commands& value) { targets_.perform(value); },
+            [this](const proxy::close_target& value) { targets_.perform(value); },
+            [this](const proxy::set_ready& value) { ready_ = value.ready; },
+            [this](const proxy::stop_process& /*value*/) { context_.stop(); },
+            [this](const core::log_event& value) { logger_.perform(value); },
+            [this](const core::count_metric& value) { metrics_.perform(value); },
+            [this](const core::observe_duration& value) { metrics_.perform(value); },
+            [this](const auto& value) { perform(value); },
+        },
+        action);
+}
+
+void session_host::perform(const proxy::claim_duty& /*action*/) {}
+
+void session_host::perform(const proxy::promote_target& action) {
+    if (promotions_.has_value()) {
+        promotions_->promote(
+            action, [this](const proxy::promotion_answered& answer) { handle(answer); });
+    }
+}
+
+void session_host::perform(const proxy::publish_suspicion& /*action*/) {}
+
+void session_host::perform(const proxy::withdraw_suspicion& /*action*/) {}
+
+gateway::http_server::answer session_host::answer_path(const std::string& path) const {
+    if (path == "/metrics") {
+        return {200, "text/plain; version=0.0.4", metrics_.render()};
+    }
+    return ready_ ? gateway::http_server::answer{200, "text/plain", "ready\n"}
+                  : gateway::http_server::answer{503, "text/plain", "not ready\n"};
+}
+
+void session_host::keep_registry() {
+    keep_registration();
+    follow(configuration_follower_);
+    follow(targets_follower_);
+    follow(hosts_follower_);
+    registry_timer_.expires_after(internal::registry_interval);
+    registry_timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            keep_registry();
+        }
+    });
+}
+
+void session_host::keep_registration() {
+    const std::optional<proxy::lease_keeper::call> call =
+        registration_.next_call(internal::now());
+    if (!call.has_value()) {
+        return;
+    }
+    const auto on_lease = [this](const proxy::lease_outcome& outcome) {
+        registration_.on_lease(internal::now(), outcome);
+        keep_registration();
+    };
+    std::visit(core::overloaded{
+                   [&](const proxy::grant_lease& value) { store_.grant(value, on_lease); },
+                   [&](const proxy::renew_lease& value) { store_.renew(value, on_lease); },
+                   [&](const proxy::write_items& value) {
+                       store_.write(value, [this](const proxy::write_outcome& outcome) {
+                           registration_.on_written(internal::now(), outcome);
+                           keep_registration();
+                       });
+                   },
+               },
+               *call);
+}
+
+void session_host::follow(proxy::registry_follower& follower) {
+    const std::optional<proxy::registry_follower::call> call =
+        follower.next_call(internal::now());
+    if (!call.has_value()) {
+        return;
+    }
+    const bool was_connected = follower.connected();
+    const auto after = [this, &follower, was_connected](
+                           const proxy::registry_follower::update& update) {
+        if (follower.connected() != was_connected) {
+            log(core::log_event::level::warning,
+                was_connected ? "registry_lost" : "registry_regained",
+                {{"prefix", follower.prefix()}});
+        }
+        apply(follower, update);
+        follow(follower);
+    };
+    std::visit(core::overloaded{
+                   [&](const proxy::list_items& value) {
+                       store_.list(value, [&follower, after](const proxy::item_page& page) {
+                           after(follower.on_page(internal::now(), page));
+                       });
+                   },
+                   [&](const proxy::watch_items& value) {
+                       store_.watch(value, [&follower, after](const proxy::item_changes& changes) {
+                           after(follower.on_changes(internal::now(), changes));
+                       });
+                   },
+               },
+               *call);
+}
+
+void session_host::apply(const proxy::registry_follower& follower,
+                         const proxy::registry_follower::update& update) {
+    if (&follower == &configuration_follower_) {
+        for (const proxy::item_change& change : update.changes) {
+            apply_configuration(change);
+        }
+    } else if (&follower == &targets_follower_) {
+        apply_targets(update);
+    } else {
+        apply_hosts(update);
+    }
+}
+
+void session_host::apply_configuration(const proxy::item_change& change) {
+    if (change.removed || change.item.key != platform_adapter::configuration_key) {
+        return;
+    }
+    const platform_adapter::document_result<proxy::configuration> parsed =
+        platform_adapter::parse_configuration(change.item.value);
+    if (!parsed) {
+        log(core::log_event::level::error, "configuration_rejected",
+            {{"revision", std::to_string(change.item.revision)},
+             {"reason", parsed.error().reason}});
+        return;
+    }
+    handle(proxy::configuration_changed{parsed.value()});
+}
+
+void session_host::apply_targets(const proxy::registry_follower::update& update) {
+    proxy::targets_listed listed;
+    for (const proxy::item_change& change : update.changes) {
+        const std::string id = internal::last_part(change.item.key);
+        if (change.removed) {
+            handle(proxy::target_removed{core::target_id{id}});
+            continue;
+        }
+        const platform_adapter::document_result<proxy::target_record> parsed =
+            platform_adapter::parse_target(id, change.item.value);
+        if (!parsed) {
+            log(core::log_event::level::warning, "target_entry_rejected",
+                {{"target", id},
+                 {"revision", std::to_string(change.item.revision)},
+                 {"reason", parsed.error().reason}});
+        } else if (update.complete) {
+            listed.targets.push_back(parsed.value());
+        } else {
+            handle(proxy::target_changed{parsed.value()});
+        }
+    }
+    if (update.complete) {
+        handle(listed);
+    }
+}
+
+void session_host::apply_hosts(const proxy::registry_follower::update& update) {
+    proxy::hosts_listed listed;
+    for (const proxy::item_change& change : update.changes) {
+        const core::host_id host{internal::last_part(change.item.key)};
+        if (update.complete) {
+            listed.hosts.push_back(host);
+        } else if (change.removed) {
+            handle(proxy::host_left{host});
+        } else {
+            handle(proxy::host_joined{host});
+        }
+    }
+    if (update.complete) {
+        handle(listed);
+    }
+}
+
+void session_host::log(core::log_event::level severity, const char* name,
+                       std::vector<std::pair<std::string, std::string>> fields) {
+    logger_.perform(core::log_event{severity, name, std::move(fields)});
+}
+
+} // namespace lovagemoor
--- /dev/null
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <lovagemoor/gateway/caller_listener.hpp>
+#include <lovagemoor/gateway/http_server.hpp>
+#include <lovagemoor/gateway/target_links.hpp>
+#include <lovagemoor/platform_adapter/store_client.hpp>
+#include <lovagemoor/proxy/engine/engine.hpp>
+#include <lovagemoor/proxy/registry/lease_keeper.hpp>
+#include <lovagemoor/proxy/registry/registry_follower.hpp>
+#include <lovagemoor/settings/session_settings.hpp>
+#include <lovagemoor/telemetry/logger.hpp>
+#include <lovagemoor/telemetry/metrics.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lovagemoor {
+
+/// @brief A host that serves statement sessions on the platform: the engine and its drivers in one
+/// thread.
+class session_host {
+public:
+    /// @throws boost::system::system_error when an address cannot be bound.
+    explicit session_host(const settings::session_settings& settings);
+
+    /// @brief Serves until the process is asked to stop and all sessions have ended.
+    void run();
+
+private:
+    void handle(const proxy::event& input);
+    void perform(const proxy::claim_duty& action);
+    void perform(const proxy::promote_target& action);
+    void perform(const proxy::publish_suspicion& action);
+    void perform(const proxy::withdraw_suspicion& action);
+    void perform_any(const proxy::action& action);
+    void schedule_timer();
+    void wait_for_signals();
+
+    void follow(proxy::registry_follower& follower);
+    void apply(const proxy::registry_follower& follower,
+               const proxy::registry_follower::update& update);
+    void apply_configuration(const proxy::item_change& change);
+    void apply_targets(const proxy::registry_follower::update& update);
+    void apply_hosts(const proxy::registry_follower::update& update);
+    void keep_registration();
+    void keep_registry();
+    [[nodiscard]] gateway::http_server::answer answer_path(const std::string& path) const;
+    void log(core::log_event::level severity, const char* name,
+             std::vector<std::pair<std::string, std::string>> fields);
+
+    settings::session_settings settings_;
+    boost::asio::io_context context_{1};
+    telemetry::logger logger_;
+    telemetry::metrics metrics_;
+    proxy::engine engine_;
+    gateway::caller_listener callers_;
+    gateway::target_links targets_;
+    gateway::http_server ready_server_;
+    std::optional<gateway::http_server> metrics_server_;
+    platform_adapter::store_client store_;
+    std::optional<platform_adapter::promotion_client> promotions_;
+    proxy::registry_follower configuration_follower_;
+    proxy::registry_follower targets_follower_;
+    proxy::registry_follower hosts_follower_;
+    proxy::lease_keeper registration_;
+    boost::asio::steady_timer timer_;
+    boost::asio::steady_timer registry_timer_;
+    boost::asio::signal_set signals_;
+    bool ready_ = false;
+};
+
+} // namespace lovagemoor
