Promote targets without a standing leader; reload on SIGHUP

Change: hosts publish suspicions under their registration's lease; enough reports let a host claim the duty with a conditional write, ask the replicas for their positions and promote the most complete one.

--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -45,9 +45,27 @@
         core::time_point last_probe;
         /// Sessions that wait, by priority and arrival.
         std::vector<session_id> waiting;
+        /// Since when no target is known to lead.
+        std::optional<core::time_point> missing_since;
+        /// Hosts that report that they cannot reach the primary.
+        std::set<core::host_id> reporters;
         bool suspicion_published = false;
     };
 
+    /// @brief What the engine knows of another host.
+    struct host_state {
+        core::domain_id domain;
+        /// When the registry removed it; nothing while it is listed.
+        std::optional<core::time_point> left_at;
+    };
+
+    /// @brief A status command that waits for a connection.
+    struct pending_inspection {
+        core::target_id target;
+        core::term_number hold_term = 0;
+        core::time_point until;
+    };
+
     // Dispatch of events, engine.cpp
     void on(const session_opened& input);
     void on(const statement_received& input);
@@ -123,7 +141,7 @@
     void drop_connection(core::connection_id id);
     void on_connection_lost(const target_connection& connection, bool was_open);
     void on_target_alive(const core::target_id& target);
-    void on_target_failure(const core::target_id& target);
+    void on_target_failure(const core::target_id& target, core::time_point since);
     void confirm_primary(const core::target_id& target, core::time_point sent, log_point point);
     void refute_primary(const core::target_id& target);
     void observe_latency(target_state& target, core::duration taken);
@@ -143,7 +161,15 @@
     void keep_connections();
     void keep_stopping();
     void run_promoter();
-    void inspect_targets(const core::service_id& service, core::term_number hold_term);
+    [[nodiscard]] service_outlook outlook_of(const core::service_id& id, service_state& state);
+    [[nodiscard]] bool is_failing(const service_state& state) const;
+    [[nodiscard]] bool reaches_replica(const core::service_id& id, const service_state& state);
+    [[nodiscard]] bool suspicion_confirmed(const service_state& state) const;
+    [[nodiscard]] bool may_promote_now(const core::service_id& id, const service_state& state,
+                                       core::time_point needed_since) const;
+    void keep_suspicion(const core::service_id& id, service_state& state);
+    void keep_hosts();
+    void start_inspections();
 
     void log(core::log_event::level severity, std::string name,
              std::vector<std::pair<std::string, std::string>> fields);
@@ -157,7 +183,8 @@
     target_pool pool_;
     std::map<core::service_id, service_state> services_;
     std::optional<configuration> configuration_;
-    std::set<core::host_id> hosts_;
+    std::map<core::host_id, host_state> hosts_;
+    std::vector<pending_inspection> inspections_;
     promoter promoter_;
     bool targets_known_ = false;
     bool ready_ = false;
--- a/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
@@ -21,7 +21,7 @@
     std::chrono::milliseconds check_interval{500};
     /// A probe of the primary without a reply for this long is a failure. Commands without work are
     /// answered within milliseconds, also by a loaded target.
-    std::chrono::milliseconds probe_timeout{500};
+    std::chrono::milliseconds probe_timeout{350};
     /// Pause between probes of all targets while a service has no known primary.
     std::chrono::milliseconds search_interval{150};
     /// A primary that failed for this long is suspected.
@@ -36,6 +36,11 @@
     /// Time for which a draining target may still get new statements; half of the shortest notice
     /// of the reference deployments (7 s).
     std::chrono::milliseconds draining_use{3500};
+    /// Time for which a host that the registry removed still counts for the shares of connections:
+    /// registrations also vanish with the registry's own failures.
+    std::chrono::milliseconds host_memory{30000};
+    /// Delay of each further host that sees the need of a promotion.
+    std::chrono::milliseconds promotion_rank_delay{120};
     /// Statements that a session may send ahead.
     std::size_t max_backlog = 32;
     /// Attempts for one statement.
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -91,13 +91,19 @@
     core::target_id target;
 };
 
+/// @brief A live host and where it runs.
+struct host_record {
+    core::host_id host;
+    core::domain_id domain;
+};
+
 /// @brief The complete list of hosts.
 struct hosts_listed {
-    std::vector<core::host_id> hosts;
+    std::vector<host_record> hosts;
 };
 
 struct host_joined {
-    core::host_id host;
+    host_record host;
 };
 
 struct host_left {
--- a/packages/proxy/include/lovagemoor/proxy/registry/lease_keeper.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/lease_keeper.hpp
@@ -31,6 +31,12 @@
     void on_lease(core::time_point now, const lease_outcome& outcome);
     void on_written(core::time_point now, const write_outcome& outcome);
 
+    /// @brief The item was removed from the registry although this process lives.
+    void on_lost(core::time_point now);
+
+    /// @return The lease that ends with this process; 0 while there is none.
+    [[nodiscard]] lease_id lease() const noexcept { return lease_; }
+
 private:
     enum class stage : std::uint8_t { no_lease, not_written, kept };
 
--- a/packages/proxy/src/engine/engine.cpp
+++ b/packages/proxy/src/engine/engine.cpp
@@ -91,9 +91,11 @@
     keep_sessions();
     keep_connections();
     keep_targets();
+    keep_hosts();
     for (auto& [id, state] : services_) {
         keep_service(id, state);
     }
+    start_inspections();
     run_promoter();
     keep_stopping();
 }
--- /dev/null
+++ b/packages/proxy/src/engine/engine_promotion.cpp
@@ -0,0 +1,230 @@
+#include <lovagemoor/proxy/engine/engine.hpp>
+
+#include <lovagemoor/core/overloaded.hpp>
+#include <lovagemoor/proxy/promotion/suspicion_quorum.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <iterator>
+#include <string>
+#include <utility>
+
+namespace lovagemoor::proxy {
+
+bool engine::is_failing(const service_state& state) const {
+    const auto for_long = [this](const std::optional<core::time_point>& since) {
+        return since.has_value() && now_ - *since >= settings_.suspicion_delay;
+    };
+    return for_long(state.failing_since) || for_long(state.missing_since);
+}
+
+bool engine::reaches_replica(const core::service_id& id, const service_state& state) {
+    bool reaches = false;
+    for (target_state* const target : pool_.of_service(id)) {
+        if (state.view.primary() == target->record.id) {
+            continue;
+        }
+        if (!target->idle.empty() || target->in_use > 0) {
+            reaches = true;
+        } else if (target->opening == 0) {
+            open_connection(*target);
+        }
+    }
+    return reaches;
+}
+
+void engine::keep_suspicion(const core::service_id& id, service_state& state) {
+    if (!is_failing(state)) {
+        if (std::exchange(state.suspicion_published, false)) {
+            log(core::log_event::level::info, "suspicion_withdrawn", {{"service", id.value}});
+            out_.emplace_back(withdraw_suspicion{id});
+            state.reporters.erase(settings_.host);
+        }
+        return;
+    }
+    if (state.suspicion_published || !reaches_replica(id, state)) {
+        return;
+    }
+    state.suspicion_published = true;
+    state.reporters.insert(settings_.host);
+    const core::target_id primary = state.view.primary().value_or(core::target_id{});
+    log(core::log_event::level::warning, "primary_suspected",
+        {{"service", id.value},
+         {"target", primary.value},
+         {"silent_ms", std::to_string((now_ - state.primary_contact).count() / 1000)}});
+    out_.emplace_back(publish_suspicion{suspicion_report{id, primary, settings_.host}});
+}
+
+bool engine::suspicion_confirmed(const service_state& state) const {
+    suspicion_count count;
+    std::set<core::domain_id> domains;
+    std::set<core::domain_id> reporting;
+    for (const auto& [id, host] : hosts_) {
+        if (host.left_at.has_value()) {
+            continue;
+        }
+        ++count.hosts;
+        domains.insert(host.domain);
+        if (state.reporters.contains(id)) {
+            ++count.reporters;
+            reporting.insert(host.domain);
+        }
+    }
+    count.domains = domains.size();
+    count.reporting_domains = reporting.size();
+    return confirms_loss(count);
+}
+
+bool engine::may_promote_now(const core::service_id& id, const service_state& state,
+                             core::time_point needed_since) const {
+    // Hosts take turns in an order that differs by service, so that they rarely race.
+    std::vector<core::host_id> order;
+    for (const auto& [host, known] : hosts_) {
+        const bool eligible = state.reporters.empty() || state.reporters.contains(host);
+        if (!known.left_at.has_value() && eligible) {
+            order.push_back(host);
+        }
+    }
+    const auto own = std::find(order.begin(), order.end(), settings_.host);
+    if (own == order.end()) {
+        return false;
+    }
+    const std::size_t start = std::hash<std::string>{}(id.value) % order.size();
+    const std::size_t index = static_cast<std::size_t>(std::distance(order.begin(), own));
+    const std::size_t rank = (index + order.size() - start) % order.size();
+    return now_ - needed_since >= settings_.promotion_rank_delay * static_cast<int>(rank);
+}
+
+service_outlook engine::outlook_of(const core::service_id& id, service_state& state) {
+    service_outlook outlook;
+    outlook.service = id;
+    outlook.primary = state.view.primary();
+    outlook.term = state.view.term();
+    if (configuration_.has_value()) {
+        const auto limits = configuration_->services.find(id);
+        if (limits != configuration_->services.end()) {
+            outlook.synchronous_replicas = limits->second.synchronous_replicas;
+        }
+    }
+    for (const target_state* const target : pool_.of_service(id)) {
+        if (target->record.id == outlook.primary) {
+            if (target->record.draining &&
+                may_promote_now(id, state, target->draining_since)) {
+                outlook.cause = promotion_cause::primary_draining;
+            }
+        } else if (!target->removed_at.has_value()) {
+            outlook.replicas.push_back({target->record.id, target->record.draining});
+        }
+    }
+    if (state.suspicion_published && suspicion_confirmed(state)) {
+        const core::time_point since =
+            state.failing_since.value_or(state.missing_since.value_or(now_));
+        if (may_promote_now(id, state, since + settings_.suspicion_delay)) {
+            outlook.cause = promotion_cause::primary_lost;
+        }
+    }
+    return outlook;
+}
+
+void engine::run_promoter() {
+    if (stopping_since_.has_value()) {
+        return;
+    }
+    std::vector<service_outlook> outlooks;
+    for (auto& [id, state] : services_) {
+        outlooks.push_back(outlook_of(id, state));
+    }
+    for (const promoter_step& step : promoter_.advance(now_, outlooks)) {
+        std::visit(core::overloaded{
+                       [this](const request_duty& request) {
+                           log(core::log_event::level::info, "duty_requested", {});
+                           out_.emplace_back(claim_duty{request.duration});
+                       },
+                       [this](const inspect_replicas& request) {
+                           for (const target_state* const target :
+                                pool_.of_service(request.service)) {
+                               inspections_.push_back(
+                                   {target->record.id, request.hold_term,
+                                    now_ + settings_.connect_timeout});
+                           }
+                           start_inspections();
+                       },
+                       [this](const call_promotion& request) {
+                           log(core::log_event::level::warning, "promotion_called",
+                               {{"service", request.service.value},
+                                {"target", request.target.value},
+                                {"fencing_token", std::to_string(request.fencing_token)}});
+                           out_.emplace_back(promote_target{request.service, request.target,
+                                                            request.fencing_token});
+                       },
+                   },
+                   step);
+    }
+}
+
+void engine::start_inspections() {
+    std::vector<pending_inspection> waiting;
+    for (const pending_inspection& inspection : std::exchange(inspections_, {})) {
+        target_state* const target = pool_.find(inspection.target);
+        if (target == nullptr || now_ > inspection.until ||
+            services_[target->record.service].view.primary() == inspection.target) {
+            continue;
+        }
+        target_connection* const connection = pool_.acquire(*target, 0, now_);
+        if (connection == nullptr) {
+            if (target->opening == 0) {
+                open_connection(*target);
+            }
+            waiting.push_back(inspection);
+            continue;
+        }
+        const command_kind kind =
+            inspection.hold_term > 0 ? command_kind::hold_replication : command_kind::status;
+        send(*connection, {target_command{kind, {}, {}, {}, std::nullopt, inspection.hold_term}},
+             reply_role::inspection);
+    }
+    inspections_ = std::move(waiting);
+}
+
+void engine::on(const suspicion_reported& input) {
+    service_state& state = services_[input.report.service];
+    if (input.report.reporter == settings_.host && !state.suspicion_published) {
+        // Left by a former process of this host.
+        out_.emplace_back(withdraw_suspicion{input.report.service});
+        return;
+    }
+    state.reporters.insert(input.report.reporter);
+    run_promoter();
+}
+
+void engine::on(const suspicion_withdrawn& input) {
+    services_[input.service].reporters.erase(input.reporter);
+}
+
+void engine::on(const duty_claimed& input) {
+    log(core::log_event::level::info, "duty_claimed",
+        {{"result", input.result == duty_claim_result::acquired        ? "acquired"
+                    : input.result == duty_claim_result::held_by_other ? "held_by_other"
+                                                                       : "unknown"},
+         {"fencing_token", std::to_string(input.fencing_token)}});
+    promoter_.on_duty(now_, input);
+    run_promoter();
+}
+
+void engine::on(const duty_released& /*input*/) {
+    promoter_.on_duty_released();
+}
+
+void engine::on(const promotion_answered& input) {
+    log(core::log_event::level::info, "promotion_answered",
+        {{"service", input.service.value},
+         {"target", input.target.value},
+         {"result", input.result == promotion_result::accepted     ? "accepted"
+                    : input.result == promotion_result::rejected   ? "rejected"
+                    : input.result == promotion_result::overloaded ? "overloaded"
+                                                                   : "unknown"}});
+    promoter_.on_promotion(now_, input);
+    run_promoter();
+}
+
+} // namespace lovagemoor::proxy
--- a/packages/proxy/src/engine/engine_registry.cpp
+++ b/packages/proxy/src/engine/engine_registry.cpp
@@ -84,15 +84,30 @@
 }
 
 void engine::on(const hosts_listed& input) {
-    hosts_ = {input.hosts.begin(), input.hosts.end()};
+    std::set<core::host_id> listed;
+    for (const host_record& record : input.hosts) {
+        listed.insert(record.host);
+        on(host_joined{record});
+    }
+    for (auto& [id, state] : hosts_) {
+        if (!listed.contains(id) && !state.left_at.has_value()) {
+            on(host_left{id});
+        }
+    }
 }
 
 void engine::on(const host_joined& input) {
-    hosts_.insert(input.host);
+    hosts_[input.host.host] = host_state{input.host.domain, std::nullopt};
 }
 
 void engine::on(const host_left& input) {
-    hosts_.erase(input.host);
+    const auto found = hosts_.find(input.host);
+    if (found != hosts_.end() && !found->second.left_at.has_value()) {
+        found->second.left_at = now_;
+    }
+    for (auto& [id, state] : services_) {
+        state.reporters.erase(input.host);
+    }
 }
 
 void engine::update_ready() {
--- a/packages/proxy/src/engine/engine_replies.cpp
+++ b/packages/proxy/src/engine/engine_replies.cpp
@@ -314,7 +314,7 @@
     }
     // A target without a free connection works; only the others count as failures.
     if (input.reason != target_close_reason::connection_limit) {
-        on_target_failure(lost.target);
+        on_target_failure(lost.target, now_);
     }
     on_connection_lost(lost, was_open);
 }
@@ -384,7 +384,7 @@
     }
 }
 
-void engine::on_target_failure(const core::target_id& id) {
+void engine::on_target_failure(const core::target_id& id, core::time_point since) {
     target_state* const target = pool_.find(id);
     if (target == nullptr) {
         return;
@@ -392,7 +392,7 @@
     target->avoid_until = now_ + settings_.connect_backoff;
     service_state& service = services_[target->record.service];
     if (service.view.primary() == id && !service.failing_since.has_value()) {
-        service.failing_since = now_;
+        service.failing_since = since;
     }
 }
 
--- a/packages/proxy/src/engine/engine_upkeep.cpp
+++ b/packages/proxy/src/engine/engine_upkeep.cpp
@@ -63,8 +63,9 @@
     }
     for (const core::connection_id id : silent) {
         const core::target_id target = pool_.find(id)->target;
+        const core::time_point sent = pool_.find(id)->expected.front().sent;
         log(core::log_event::level::warning, "probe_unanswered", {{"target", target.value}});
-        on_target_failure(target);
+        on_target_failure(target, sent);
         drop_connection(id);
     }
 }
@@ -90,7 +91,13 @@
     }
     const std::optional<core::target_id> primary = state.view.primary();
     target_state* const target = primary.has_value() ? pool_.find(*primary) : nullptr;
-    if (target == nullptr) {
+    if (target != nullptr) {
+        state.missing_since.reset();
+    } else if (!state.missing_since.has_value()) {
+        state.missing_since = now_;
+    }
+    keep_suspicion(id, state);
+    if (target == nullptr || state.suspicion_published) {
         search_primary(id, state);
         return;
     }
@@ -152,26 +159,11 @@
     }
 }
 
-void engine::run_promoter() {}
-
-void engine::inspect_targets(const core::service_id& /*service*/, core::term_number /*hold_term*/) {}
-
-void engine::on(const suspicion_reported& /*input*/) {}
-
-void engine::on(const suspicion_withdrawn& /*input*/) {}
-
-void engine::on(const duty_claimed& input) {
-    promoter_.on_duty(now_, input);
-    run_promoter();
-}
-
-void engine::on(const duty_released& /*input*/) {
-    promoter_.on_duty_released();
-}
-
-void engine::on(const promotion_answered& input) {
-    promoter_.on_promotion(now_, input);
-    run_promoter();
+void engine::keep_hosts() {
+    std::erase_if(hosts_, [this](const auto& entry) {
+        return entry.second.left_at.has_value() &&
+               now_ - *entry.second.left_at > settings_.host_memory;
+    });
 }
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/src/registry/lease_keeper.cpp
+++ b/packages/proxy/src/registry/lease_keeper.cpp
@@ -72,4 +72,11 @@
     due_ = now + duration_ / internal::renewals_per_lease;
 }
 
+void lease_keeper::on_lost(core::time_point now) {
+    if (stage_ == stage::kept) {
+        stage_ = stage::not_written;
+        due_ = now;
+    }
+}
+
 } // namespace lovagemoor::proxy
--- a/programs/lovagemoord/src/main.cpp
+++ b/programs/lovagemoord/src/main.cpp
@@ -112,7 +112,7 @@
         std::cout << FLAGS_settings << ": valid\n";
         return exit_ok;
     }
-    lovagemoor::session_host host{settings.value()};
+    lovagemoor::session_host host{settings.value(), FLAGS_settings};
     host.run();
     return exit_ok;
 }
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -15,8 +15,16 @@
 
 namespace {
 
-/// Keys of this project in the registry.
+/// @name Keys of this project in the registry
+/// @{
+constexpr std::string_view cluster_prefix = "lovagemoor/";
+/// The host's id follows; the value is its failure domain.
 constexpr std::string_view hosts_prefix = "lovagemoor/hosts/";
+/// Service and reporting host follow; the value is the suspected target.
+constexpr std::string_view suspicions_prefix = "lovagemoor/suspicions/";
+/// The value is the host that may promote; the item's revision is its fencing token.
+constexpr std::string_view duty_key = "lovagemoor/duty";
+/// @}
 
 /// A host that stopped without a word is forgotten after this time; its connections at targets are
 /// gone by then.
@@ -51,8 +59,9 @@
 
 } // namespace internal
 
-session_host::session_host(const settings::session_settings& settings)
+session_host::session_host(const settings::session_settings& settings, std::string settings_file)
     : settings_{settings},
+      settings_file_{std::move(settings_file)},
       logger_{settings.id, settings.log_level, std::cout},
       engine_{internal::engine_settings_of(settings)},
       callers_{context_, settings.caller_listen, settings.max_sessions,
@@ -65,12 +74,12 @@
       store_{context_, settings.registry_address, settings.call_timeout},
       configuration_follower_{std::string{platform_adapter::configuration_key}},
       targets_follower_{std::string{platform_adapter::targets_prefix}},
-      hosts_follower_{std::string{internal::hosts_prefix}},
+      cluster_follower_{std::string{internal::cluster_prefix}},
       registration_{std::string{internal::hosts_prefix} + settings.id.value, settings.domain.value,
                     internal::registration_duration},
       timer_{context_},
       registry_timer_{context_},
-      signals_{context_, SIGTERM, SIGINT} {
+      signals_{context_, SIGTERM, SIGINT, SIGHUP} {
     if (!settings.metrics_listen.empty()) {
         metrics_server_.emplace(context_, settings.metrics_listen,
                                 [this](const std::string& path) { return answer_path(path); });
@@ -94,14 +103,36 @@
 }
 
 void session_host::wait_for_signals() {
-    signals_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
-        if (!error) {
+    signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload();
+        } else {
             handle(proxy::stop_requested{});
-            wait_for_signals();
         }
+        wait_for_signals();
     });
 }
 
+void session_host::reload() {
+    const settings::result<settings::session_settings> read =
+        settings::read_session_settings(settings_file_);
+    if (!read) {
+        log(core::log_event::level::error, "reload_rejected",
+            {{"reason", settings::to_string(read.error())}});
+        return;
+    }
+    const settings::session_settings& fresh = read.value();
+    const bool fixed_changed = fresh.id != settings_.id || fresh.domain != settings_.domain ||
+                               fresh.caller_listen != settings_.caller_listen ||
+                               fresh.ready_listen != settings_.ready_listen ||
+                               fresh.registry_address != settings_.registry_address;
+    log(core::log_event::level::info, "reloaded",
+        {{"file", settings_file_}, {"needs_restart", fixed_changed ? "true" : "false"}});
+}
+
 void session_host::schedule_timer() {
     const core::duration pause =
         std::max(core::duration{1000}, engine_.next_wakeup() - internal::now());
@@ -141,8 +172,6 @@
         action);
 }
 
-void session_host::perform(const proxy::claim_duty& /*action*/) {}
-
 void session_host::perform(const proxy::promote_target& action) {
     if (promotions_.has_value()) {
         promotions_->promote(
@@ -150,10 +179,6 @@
     }
 }
 
-void session_host::perform(const proxy::publish_suspicion& /*action*/) {}
-
-void session_host::perform(const proxy::withdraw_suspicion& /*action*/) {}
-
 gateway::http_server::answer session_host::answer_path(const std::string& path) const {
     if (path == "/metrics") {
         return {200, "text/plain; version=0.0.4", metrics_.render()};
@@ -166,7 +191,7 @@
     keep_registration();
     follow(configuration_follower_);
     follow(targets_follower_);
-    follow(hosts_follower_);
+    follow(cluster_follower_);
     registry_timer_.expires_after(internal::registry_interval);
     registry_timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
@@ -239,7 +264,7 @@
     } else if (&follower == &targets_follower_) {
         apply_targets(update);
     } else {
-        apply_hosts(update);
+        apply_cluster(update);
     }
 }
 
@@ -284,21 +309,117 @@
     }
 }
 
-void session_host::apply_hosts(const proxy::registry_follower::update& update) {
-    proxy::hosts_listed listed;
+void session_host::apply_cluster(const proxy::registry_follower::update& update) {
+    if (update.complete) {
+        proxy::hosts_listed listed;
+        for (const proxy::item_change& change : update.changes) {
+            if (change.item.key.starts_with(internal::hosts_prefix)) {
+                listed.hosts.push_back({core::host_id{internal::last_part(change.item.key)},
+                                        core::domain_id{change.item.value}});
+            }
+        }
+        handle(listed);
+    }
     for (const proxy::item_change& change : update.changes) {
-        const core::host_id host{internal::last_part(change.item.key)};
-        if (update.complete) {
-            listed.hosts.push_back(host);
-        } else if (change.removed) {
+        apply_cluster_item(change);
+    }
+}
+
+void session_host::apply_cluster_item(const proxy::item_change& change) {
+    const std::string& key = change.item.key;
+    const core::host_id host{internal::last_part(key)};
+    if (key == internal::duty_key) {
+        if (change.removed) {
+            handle(proxy::duty_released{});
+        } else if (change.item.value == settings_.id.value && claim_sent_.has_value()) {
+            // The answer to the claim was lost.
+            finish_claim({proxy::duty_claim_result::acquired, change.item.revision, {}});
+        }
+    } else if (key.starts_with(internal::hosts_prefix)) {
+        if (change.removed && host == settings_.id) {
+            registration_.on_lost(internal::now());
+        }
+        if (change.removed) {
             handle(proxy::host_left{host});
         } else {
-            handle(proxy::host_joined{host});
+            handle(proxy::host_joined{{host, core::domain_id{change.item.value}}});
+        }
+    } else if (key.starts_with(internal::suspicions_prefix)) {
+        const std::size_t start = internal::suspicions_prefix.size();
+        const core::service_id service{key.substr(start, key.rfind('/') - start)};
+        if (change.removed) {
+            handle(proxy::suspicion_withdrawn{service, host});
+        } else {
+            handle(proxy::suspicion_reported{{service, core::target_id{change.item.value}, host}});
         }
     }
-    if (update.complete) {
-        handle(listed);
+}
+
+void session_host::perform(const proxy::claim_duty& action) {
+    claim_sent_ = internal::now();
+    const core::duration duration = action.duration;
+    store_.grant(proxy::grant_lease{action.duration}, [this, duration](
+                                                          const proxy::lease_outcome& granted) {
+        if (granted.status != proxy::registry_status::done) {
+            finish_claim({});
+            return;
+        }
+        const proxy::write_items claim{
+            {{std::string{internal::duty_key}, 0}},
+            {{std::string{internal::duty_key}, settings_.id.value, granted.lease}},
+            {}};
+        store_.write(claim, [this](const proxy::write_outcome& written) {
+            if (written.status == proxy::registry_status::done) {
+                finish_claim({proxy::duty_claim_result::acquired, written.revision, {}});
+            } else if (written.status == proxy::registry_status::conflict) {
+                finish_claim({proxy::duty_claim_result::held_by_other, 0, {}});
+            } else {
+                // It may still be executed; the follower then sees the item.
+                log(core::log_event::level::warning, "duty_claim_unanswered", {});
+            }
+        });
+    });
+    claim_duration_ = std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
+void session_host::finish_claim(const proxy::duty_claimed& result) {
+    if (!claim_sent_.has_value()) {
+        return;
+    }
+    proxy::duty_claimed claimed = result;
+    // The lease runs from the arrival of the call, which is after it was sent.
+    claimed.valid_for = std::chrono::duration_cast<std::chrono::milliseconds>(
+        *claim_sent_ + claim_duration_ - internal::now());
+    claim_sent_.reset();
+    handle(claimed);
+}
+
+void session_host::perform(const proxy::publish_suspicion& action) {
+    if (registration_.lease() == 0) {
+        // Without a lease the report would outlive this process.
+        log(core::log_event::level::warning, "suspicion_not_published",
+            {{"service", action.report.service.value}, {"reason", "not registered"}});
+        return;
     }
+    const std::string key = std::string{internal::suspicions_prefix} +
+                            action.report.service.value + "/" + settings_.id.value;
+    store_.write(
+        proxy::write_items{{}, {{key, action.report.primary.value, registration_.lease()}}, {}},
+        [this](const proxy::write_outcome& outcome) {
+            if (outcome.status != proxy::registry_status::done) {
+                log(core::log_event::level::warning, "suspicion_not_published", {});
+            }
+        });
+}
+
+void session_host::perform(const proxy::withdraw_suspicion& action) {
+    const std::string key = std::string{internal::suspicions_prefix} + action.service.value + "/" +
+                            settings_.id.value;
+    store_.write(proxy::write_items{{}, {}, {key}}, [this](const proxy::write_outcome& outcome) {
+        if (outcome.status != proxy::registry_status::done) {
+            log(core::log_event::level::warning, "suspicion_not_withdrawn", {});
+        }
+    });
 }
 
 void session_host::log(core::log_event::level severity, const char* name,
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -26,7 +26,7 @@
 class session_host {
 public:
     /// @throws boost::system::system_error when an address cannot be bound.
-    explicit session_host(const settings::session_settings& settings);
+    session_host(const settings::session_settings& settings, std::string settings_file);
 
     /// @brief Serves until the process is asked to stop and all sessions have ended.
     void run();
@@ -40,13 +40,16 @@
     void perform_any(const proxy::action& action);
     void schedule_timer();
     void wait_for_signals();
+    void reload();
 
     void follow(proxy::registry_follower& follower);
     void apply(const proxy::registry_follower& follower,
                const proxy::registry_follower::update& update);
     void apply_configuration(const proxy::item_change& change);
     void apply_targets(const proxy::registry_follower::update& update);
-    void apply_hosts(const proxy::registry_follower::update& update);
+    void apply_cluster(const proxy::registry_follower::update& update);
+    void apply_cluster_item(const proxy::item_change& change);
+    void finish_claim(const proxy::duty_claimed& result);
     void keep_registration();
     void keep_registry();
     [[nodiscard]] gateway::http_server::answer answer_path(const std::string& path) const;
@@ -54,6 +57,7 @@
              std::vector<std::pair<std::string, std::string>> fields);
 
     settings::session_settings settings_;
+    std::string settings_file_;
     boost::asio::io_context context_{1};
     telemetry::logger logger_;
     telemetry::metrics metrics_;
@@ -66,12 +70,15 @@
     std::optional<platform_adapter::promotion_client> promotions_;
     proxy::registry_follower configuration_follower_;
     proxy::registry_follower targets_follower_;
-    proxy::registry_follower hosts_follower_;
+    proxy::registry_follower cluster_follower_;
     proxy::lease_keeper registration_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer registry_timer_;
     boost::asio::signal_set signals_;
     bool ready_ = false;
+    /// When the claim of the duty that is under way was sent.
+    std::optional<core::time_point> claim_sent_;
+    std::chrono::milliseconds claim_duration_{0};
 };
 
 } // namespace lovagemoor
