Give connecting to the store its own time limit

Change: watches wait 25 s (2 s before), keep-alive probes find silent connections, and a connect gets 500 ms. Ruled out: the follower's back-off (600 ms at most), the keep-alive (it ended the old connections after 3 s).

--- a/packages/gateway/src/http_client.cpp
+++ b/packages/gateway/src/http_client.cpp
@@ -2,6 +2,8 @@
 
 #include "address.hpp"
 
+#include <lovagemoor/gateway/line_stream.hpp>
+
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -11,6 +13,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -25,6 +28,9 @@
 /// Longest response body: a page of the registry with its encoding.
 constexpr std::uint64_t max_body = 8U << 20U;
 
+/// Longest time for a connection to open, whatever the request may take.
+constexpr std::chrono::milliseconds connect_timeout{500};
+
 } // namespace
 
 } // namespace internal
@@ -51,11 +57,12 @@
         message_.body() = std::move(request.body);
         message_.prepare_payload();
         timeout_ = request.timeout;
-        stream_.expires_after(timeout_);
         if (connected_) {
             write();
             return;
         }
+        // A lost opening packet is sent again only after seconds, so that a new attempt is faster.
+        stream_.expires_after(std::min(timeout_, internal::connect_timeout));
         stream_.async_connect(
             internal::parse_endpoint(owner_.address_),
             [self = shared_from_this()](const boost::system::error_code& error) {
@@ -64,12 +71,14 @@
                     return;
                 }
                 self->connected_ = true;
+                configure_socket(self->stream_.socket());
                 self->write();
             });
     }
 
 private:
     void write() {
+        stream_.expires_after(timeout_);
         http::async_write(
             stream_, message_,
             [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
--- a/packages/proxy/include/lovagemoor/proxy/registry/registry_follower.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/registry_follower.hpp
@@ -13,9 +13,9 @@
 namespace lovagemoor::proxy {
 
 struct follower_settings {
-    /// Longest time that a watch waits. Bounds the delay of changes when a watch's connection goes
-    /// silent.
-    std::chrono::milliseconds watch_wait{2000};
+    /// Longest time that a watch waits; each watch is a paid call. Silent connections are found by
+    /// keep-alive probes.
+    std::chrono::milliseconds watch_wait{25000};
     std::chrono::milliseconds retry_pause{150};
     std::chrono::milliseconds retry_pause_max{600};
 };
