Report not ready when no target outside the failure domain is reached

Change: every target in use is probed without taking a slot; a host that reaches none outside its domain reports not ready, refuses at once what it cannot serve and closes idle sessions once the load balancer sends them elsewhere. One connection a target is opened ahead, and connections beyond half of the share close after 1.5 s without use.

--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -115,6 +115,7 @@
     [[nodiscard]] bool usable(const target_state& target) const;
     target_connection* connect_for(session& caller, target_state& target);
     void open_connection(target_state& target);
+    [[nodiscard]] bool may_open(const target_state& target) const;
     void run_on(session& caller, target_connection& connection);
     void send_statement(session& caller, target_connection& connection,
                         std::vector<target_command> commands);
@@ -157,8 +158,13 @@
     void probe(target_state& target);
     void search_primary(const core::service_id& id, service_state& state);
     void keep_targets();
+    void keep_contact(target_state& target);
+    void keep_isolation();
+    [[nodiscard]] bool is_isolated() const;
+    void close_idle_sessions();
     void keep_sessions();
     void keep_connections();
+    [[nodiscard]] std::vector<core::connection_id> spare_connections() const;
     void keep_stopping();
     void run_promoter();
     [[nodiscard]] service_outlook outlook_of(const core::service_id& id, service_state& state);
@@ -189,6 +195,8 @@
     bool targets_known_ = false;
     bool ready_ = false;
     std::optional<core::time_point> stopping_since_;
+    /// Since when no target outside the own failure domain is reached.
+    std::optional<core::time_point> isolated_since_;
     core::time_point last_upkeep_;
 };
 
--- a/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
@@ -22,6 +22,16 @@
     /// A probe of the primary without a reply for this long is a failure. Commands without work are
     /// answered within milliseconds, also by a loaded target.
     std::chrono::milliseconds probe_timeout{350};
+    /// A target without a reply for this long is probed.
+    std::chrono::milliseconds contact_interval{500};
+    /// Targets that fail for this long count as out of reach.
+    std::chrono::milliseconds unreachable_after{300};
+    /// Time after which a host that reaches no target outside its failure domain closes idle
+    /// sessions: by then the load balancer sends them elsewhere (two missed probes, one a second).
+    std::chrono::milliseconds isolation_close{2500};
+    /// Connections beyond half of the share are closed after this time without use, so that hosts
+    /// that restart find connections free while their former ones linger at the targets.
+    std::chrono::milliseconds spare_idle{1500};
     /// Pause between probes of all targets while a service has no known primary.
     std::chrono::milliseconds search_interval{150};
     /// A primary that failed for this long is suspected.
--- a/packages/proxy/include/lovagemoor/proxy/pool/target_pool.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/pool/target_pool.hpp
@@ -22,6 +22,11 @@
     std::vector<core::connection_id> idle;
     unsigned opening = 0;
     unsigned in_use = 0;
+    /// Last reply or opened connection.
+    core::time_point last_contact;
+    /// First failure since the last contact.
+    std::optional<core::time_point> failing_since;
+    core::time_point last_probe;
     /// Consecutive attempts to connect that failed.
     unsigned connect_failures = 0;
     /// No new connection before this time.
@@ -55,6 +60,10 @@
 
     [[nodiscard]] std::map<core::target_id, target_state>& targets() noexcept { return targets_; }
 
+    [[nodiscard]] const std::map<core::target_id, target_state>& targets() const noexcept {
+        return targets_;
+    }
+
     [[nodiscard]] const std::map<core::connection_id, target_connection>&
     connections() const noexcept {
         return connections_;
--- a/packages/proxy/src/engine/engine.cpp
+++ b/packages/proxy/src/engine/engine.cpp
@@ -92,6 +92,7 @@
     keep_connections();
     keep_targets();
     keep_hosts();
+    keep_isolation();
     for (auto& [id, state] : services_) {
         keep_service(id, state);
     }
--- /dev/null
+++ b/packages/proxy/src/engine/engine_isolation.cpp
@@ -0,0 +1,52 @@
+#include <lovagemoor/proxy/engine/engine.hpp>
+
+#include <algorithm>
+#include <string>
+
+namespace lovagemoor::proxy {
+
+bool engine::is_isolated() const {
+    std::size_t outside = 0;
+    std::size_t unreachable_outside = 0;
+    for (const auto& [id, target] : pool_.targets()) {
+        if (target.removed_at.has_value() || target.record.domain == settings_.domain) {
+            continue;
+        }
+        ++outside;
+        if (target.failing_since.has_value() &&
+            now_ - *target.failing_since >= settings_.unreachable_after) {
+            ++unreachable_outside;
+        }
+    }
+    return outside > 1 && unreachable_outside == outside;
+}
+
+void engine::keep_isolation() {
+    const bool isolated = is_isolated();
+    if (isolated != isolated_since_.has_value()) {
+        log(core::log_event::level::warning, isolated ? "isolated" : "isolation_ended",
+            {{"failure_domain", settings_.domain.value},
+             {"targets", std::to_string(pool_.targets().size())}});
+        isolated_since_ = isolated ? std::optional<core::time_point>{now_} : std::nullopt;
+        update_ready();
+    }
+    if (isolated_since_.has_value() && now_ - *isolated_since_ > settings_.isolation_close) {
+        close_idle_sessions();
+    }
+}
+
+void engine::close_idle_sessions() {
+    std::vector<session_id> idle;
+    for (const auto& [id, caller] : sessions_) {
+        if (caller.state == session_state::idle && !caller.current.has_value() &&
+            caller.backlog.empty()) {
+            idle.push_back(id);
+        }
+    }
+    for (const session_id id : idle) {
+        out_.emplace_back(close_session{id});
+        on(session_closed{id});
+    }
+}
+
+} // namespace lovagemoor::proxy
--- a/packages/proxy/src/engine/engine_replies.cpp
+++ b/packages/proxy/src/engine/engine_replies.cpp
@@ -377,6 +377,8 @@
     if (target == nullptr) {
         return;
     }
+    target->last_contact = now_;
+    target->failing_since.reset();
     service_state& service = services_[target->record.service];
     if (service.view.primary() == id) {
         service.primary_contact = now_;
@@ -390,6 +392,9 @@
         return;
     }
     target->avoid_until = now_ + settings_.connect_backoff;
+    if (!target->failing_since.has_value()) {
+        target->failing_since = since;
+    }
     service_state& service = services_[target->record.service];
     if (service.view.primary() == id && !service.failing_since.has_value()) {
         service.failing_since = since;
--- a/packages/proxy/src/engine/engine_requests.cpp
+++ b/packages/proxy/src/engine/engine_requests.cpp
@@ -76,6 +76,12 @@
     }
     const std::optional<core::target_id> chosen = choose_target(caller);
     if (!chosen.has_value()) {
+        if (isolated_since_.has_value()) {
+            caller.close_when_idle = true;
+            refuse(caller, {statement_error_kind::busy, "this host is cut off from the targets",
+                            settings_.isolation_close});
+            return;
+        }
         wait(caller, work.waits_for);
         return;
     }
@@ -148,10 +154,10 @@
         candidate.same_domain = target->record.domain == settings_.domain;
         candidate.primary = primary == id;
         candidate.connected = !target->idle.empty();
-        candidate.full = !candidate.connected && (now_ < target->connect_after ||
-                                                  target->connections() >= connection_share(*target));
+        candidate.full = !candidate.connected && !may_open(*target);
         candidate.avoided =
             !usable(*target) || target->record.draining || now_ < target->avoid_until ||
+            target->failing_since.has_value() ||
             (!candidate.primary && now_ < target->lagging_until) ||
             std::find(work.avoided.begin(), work.avoided.end(), id) != work.avoided.end();
         candidates.push_back(std::move(candidate));
@@ -169,8 +175,12 @@
     return nullptr;
 }
 
+bool engine::may_open(const target_state& target) const {
+    return now_ >= target.connect_after && target.connections() < connection_share(target);
+}
+
 void engine::open_connection(target_state& target) {
-    if (now_ < target.connect_after || target.connections() >= connection_share(target)) {
+    if (!may_open(target)) {
         return;
     }
     const core::connection_id id = ids_.next();
--- a/packages/proxy/src/engine/engine_upkeep.cpp
+++ b/packages/proxy/src/engine/engine_upkeep.cpp
@@ -61,6 +61,10 @@
             silent.push_back(id);
         }
     }
+    for (const core::connection_id id : spare_connections()) {
+        out_.emplace_back(close_target{id});
+        pool_.erase(id);
+    }
     for (const core::connection_id id : silent) {
         const core::target_id target = pool_.find(id)->target;
         const core::time_point sent = pool_.find(id)->expected.front().sent;
@@ -70,10 +74,30 @@
     }
 }
 
+std::vector<core::connection_id> engine::spare_connections() const {
+    std::vector<core::connection_id> spare;
+    for (const auto& [id, target] : pool_.targets()) {
+        const std::size_t kept = std::max(1U, connection_share(target) / 2);
+        std::size_t open = target.connections();
+        // The idle connections are in the order of their last use.
+        for (const core::connection_id connection : target.idle) {
+            const core::time_point since = pool_.connections().at(connection).phase_since;
+            if (open <= kept || now_ - since < settings_.spare_idle) {
+                break;
+            }
+            spare.push_back(connection);
+            --open;
+        }
+    }
+    return spare;
+}
+
 void engine::keep_targets() {
     std::vector<core::target_id> gone;
     for (auto& [id, target] : pool_.targets()) {
-        if (target.removed_at.has_value() && !usable(target) && target.in_use == 0) {
+        if (!target.removed_at.has_value()) {
+            keep_contact(target);
+        } else if (!usable(target) && target.in_use == 0) {
             gone.push_back(id);
         }
     }
@@ -82,6 +106,17 @@
     }
 }
 
+void engine::keep_contact(target_state& target) {
+    if (target.connections() == 0) {
+        open_connection(target);
+        return;
+    }
+    const core::time_point last = std::max(target.last_contact, target.last_probe);
+    if (now_ - last > settings_.contact_interval) {
+        probe(target);
+    }
+}
+
 void engine::keep_service(const core::service_id& id, service_state& state) {
     if (!state.waiting.empty()) {
         dispatch_waiting(id);
@@ -127,6 +162,7 @@
         }
         return;
     }
+    target.last_probe = now_;
     send(*connection, {target_command{command_kind::begin, {}, {}, {}, std::nullopt, 0}},
          reply_role::probe);
     send(*connection, {target_command{command_kind::rollback, {}, {}, {}, std::nullopt, 0}},
