--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -50,6 +50,8 @@
         /// Hosts that report that they cannot reach the primary.
         std::set<core::host_id> reporters;
         bool suspicion_published = false;
+        /// A failed report is repeated after this time.
+        core::time_point publish_after;
     };
 
     /// @brief What the engine knows of another host.
@@ -82,6 +84,8 @@
     void on(const host_left& input);
     void on(const suspicion_reported& input);
     void on(const suspicion_withdrawn& input);
+    void on(const suspicion_publish_failed& input);
+    void on(const registry_reachable& input);
     void on(const duty_claimed& input);
     void on(const duty_released& input);
     void on(const promotion_answered& input);
@@ -106,6 +110,8 @@
     void start_request(session& caller, const statement& work, std::shared_ptr<const route> via);
     void place(session& caller);
     void wait(session& caller, wait_reason reason);
+    void wait_for_primary(session& caller);
+    [[nodiscard]] std::optional<core::duration> primary_gap(const service_state& state) const;
     void dispatch_waiting(const core::service_id& service);
     [[nodiscard]] std::optional<core::target_id> choose_target(session& caller);
     [[nodiscard]] std::optional<core::target_id> choose_replica(session& caller,
@@ -193,6 +199,7 @@
     std::vector<pending_inspection> inspections_;
     promoter promoter_;
     bool targets_known_ = false;
+    bool registry_reachable_ = true;
     bool ready_ = false;
     std::optional<core::time_point> stopping_since_;
     /// Since when no target outside the own failure domain is reached.
--- a/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
@@ -36,6 +36,13 @@
     std::chrono::milliseconds search_interval{150};
     /// A primary that failed for this long is suspected.
     std::chrono::milliseconds suspicion_delay{300};
+    /// A failed report of a primary is repeated after this time.
+    std::chrono::milliseconds publish_retry{400};
+    /// Time within which a lost primary is usually replaced: detection, reports, claim and the
+    /// targets' own promotion (up to 1 s in the reference deployments).
+    std::chrono::milliseconds usual_primary_gap{3000};
+    /// When callers are told to come back while no primary can be expected.
+    std::chrono::milliseconds primary_retry_after{500};
     /// Time for which a target that refused for lack of capacity gets no new reads.
     std::chrono::milliseconds busy_pause{50};
     /// Time for which a replica that lagged gets no reads with a bound.
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -111,6 +111,11 @@
 };
 /// @}
 
+/// @brief The registry can be reached, or no longer.
+struct registry_reachable {
+    bool reachable = false;
+};
+
 /// @name Failure reports and promotion
 /// @{
 
@@ -130,6 +135,11 @@
     core::host_id reporter;
 };
 
+/// @brief A report could not be published.
+struct suspicion_publish_failed {
+    core::service_id service;
+};
+
 enum class duty_claim_result : std::uint8_t { acquired, held_by_other, unknown };
 
 /// @brief Result of claiming the right to promote.
@@ -171,7 +181,7 @@
     std::variant<session_opened, statement_received, session_closed, target_connected,
                  target_replied, target_disconnected, configuration_changed, targets_listed,
                  target_changed, target_removed, hosts_listed, host_joined, host_left,
-                 suspicion_reported, suspicion_withdrawn, duty_claimed, duty_released,
-                 promotion_answered, stop_requested, timer_expired>;
+                 suspicion_reported, suspicion_withdrawn, suspicion_publish_failed, duty_claimed, duty_released,
+                 promotion_answered, registry_reachable, stop_requested, timer_expired>;
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/src/engine/engine_promotion.cpp
+++ b/packages/proxy/src/engine/engine_promotion.cpp
@@ -42,7 +42,7 @@
         }
         return;
     }
-    if (state.suspicion_published || !reaches_replica(id, state)) {
+    if (state.suspicion_published || now_ < state.publish_after || !reaches_replica(id, state)) {
         return;
     }
     state.suspicion_published = true;
@@ -201,6 +201,13 @@
     services_[input.service].reporters.erase(input.reporter);
 }
 
+void engine::on(const suspicion_publish_failed& input) {
+    service_state& state = services_[input.service];
+    state.suspicion_published = false;
+    state.publish_after = now_ + settings_.publish_retry;
+    state.reporters.erase(settings_.host);
+}
+
 void engine::on(const duty_claimed& input) {
     log(core::log_event::level::info, "duty_claimed",
         {{"result", input.result == duty_claim_result::acquired        ? "acquired"
--- a/packages/proxy/src/engine/engine_registry.cpp
+++ b/packages/proxy/src/engine/engine_registry.cpp
@@ -110,6 +110,10 @@
     }
 }
 
+void engine::on(const registry_reachable& input) {
+    registry_reachable_ = input.reachable;
+}
+
 void engine::update_ready() {
     const bool ready =
         configuration_.has_value() && targets_known_ && !stopping_since_.has_value() &&
--- a/packages/proxy/src/engine/engine_requests.cpp
+++ b/packages/proxy/src/engine/engine_requests.cpp
@@ -1,5 +1,6 @@
 #include <lovagemoor/proxy/engine/engine.hpp>
 
+#include <lovagemoor/proxy/overload/primary_wait.hpp>
 #include <lovagemoor/proxy/pool/connection_share.hpp>
 #include <lovagemoor/proxy/routing/target_choice.hpp>
 
@@ -80,9 +81,11 @@
             caller.close_when_idle = true;
             refuse(caller, {statement_error_kind::busy, "this host is cut off from the targets",
                             settings_.isolation_close});
-            return;
+        } else if (work.waits_for == wait_reason::primary) {
+            wait_for_primary(caller);
+        } else {
+            wait(caller, work.waits_for);
         }
-        wait(caller, work.waits_for);
         return;
     }
     target_state& target = *pool_.find(*chosen);
@@ -111,7 +114,7 @@
     }
     const std::optional<core::target_id>& primary = service.view.primary();
     const target_state* const target = primary.has_value() ? pool_.find(*primary) : nullptr;
-    if (target == nullptr || !usable(*target) || promoter_.promoting(work.via->service)) {
+    if (target == nullptr || !usable(*target) || primary_gap(service).has_value()) {
         work.waits_for = wait_reason::primary;
         return std::nullopt;
     }
@@ -207,6 +210,28 @@
                    caller.id);
 }
 
+std::optional<core::duration> engine::primary_gap(const service_state& state) const {
+    std::optional<core::time_point> since = state.missing_since;
+    if (state.failing_since.has_value() &&
+        now_ - *state.failing_since >= settings_.suspicion_delay) {
+        since = state.failing_since;
+    }
+    return since.has_value() ? std::optional<core::duration>{now_ - *since} : std::nullopt;
+}
+
+void engine::wait_for_primary(session& caller) {
+    const request& work = *caller.current;
+    const primary_absence absence{
+        primary_gap(services_[work.via->service]).value_or(core::duration::zero()),
+        registry_reachable_, settings_.usual_primary_gap, work.deadline - now_};
+    if (holds_for_primary(absence)) {
+        wait(caller, wait_reason::primary);
+        return;
+    }
+    refuse(caller,
+           {statement_error_kind::busy, "no primary", settings_.primary_retry_after});
+}
+
 void engine::dispatch_waiting(const core::service_id& service) {
     const std::vector<session_id> waiting = std::exchange(services_[service].waiting, {});
     for (const session_id id : waiting) {
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -236,6 +236,7 @@
             log(core::log_event::level::warning,
                 was_connected ? "registry_lost" : "registry_regained",
                 {{"prefix", follower.prefix()}});
+            handle(proxy::registry_reachable{cluster_follower_.connected()});
         }
         apply(follower, update);
         follow(follower);
@@ -399,15 +400,18 @@
         // Without a lease the report would outlive this process.
         log(core::log_event::level::warning, "suspicion_not_published",
             {{"service", action.report.service.value}, {"reason", "not registered"}});
+        handle(proxy::suspicion_publish_failed{action.report.service});
         return;
     }
     const std::string key = std::string{internal::suspicions_prefix} +
                             action.report.service.value + "/" + settings_.id.value;
     store_.write(
         proxy::write_items{{}, {{key, action.report.primary.value, registration_.lease()}}, {}},
-        [this](const proxy::write_outcome& outcome) {
+        [this, service = action.report.service](const proxy::write_outcome& outcome) {
             if (outcome.status != proxy::registry_status::done) {
-                log(core::log_event::level::warning, "suspicion_not_published", {});
+                log(core::log_event::level::warning, "suspicion_not_published",
+                    {{"service", service.value}});
+                handle(proxy::suspicion_publish_failed{service});
             }
         });
 }
