Find silent targets about 0.4 s sooner

Cause: a cut was found 1.2 s after it began (500 ms without contact, 350 ms probe, 300 ms of failure); callers reach other failure domains only 1 to 2 s after that. Change: 300 ms, 300 ms, 200 ms.

--- a/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
@@ -21,11 +21,11 @@
     std::chrono::milliseconds check_interval{500};
     /// A probe of the primary without a reply for this long is a failure. Commands without work are
     /// answered within milliseconds, also by a loaded target.
-    std::chrono::milliseconds probe_timeout{350};
+    std::chrono::milliseconds probe_timeout{300};
     /// A target without a reply for this long is probed.
-    std::chrono::milliseconds contact_interval{500};
+    std::chrono::milliseconds contact_interval{300};
     /// Targets that fail for this long count as out of reach.
-    std::chrono::milliseconds unreachable_after{300};
+    std::chrono::milliseconds unreachable_after{200};
     /// Time after which a host that reaches no target outside its failure domain closes idle
     /// sessions: by then the load balancer sends them elsewhere (two missed probes, one a second).
     std::chrono::milliseconds isolation_close{2500};
