Share scarce connections; poll the list of hosts

Cause: on the grown site 95 hosts shared 76 connections a database: every host kept one to every database open (its probes counted as use), 23,651 connections over the limit were reset and 20% of the fresh sessions' reads failed. The list of hosts, watched by all hosts, took most of 5,064 store calls. Change: a host keeps half of its share open, or one to its home replica where the share is below two; others are opened on demand and closed after 400 ms. Hosts are listed every 8 s with stale reads; targets' changes are batched.

--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -5,6 +5,7 @@
 #include <lovagemoor/proxy/engine/action.hpp>
 #include <lovagemoor/proxy/engine/engine_settings.hpp>
 #include <lovagemoor/proxy/engine/event.hpp>
+#include <lovagemoor/proxy/pool/connection_share.hpp>
 #include <lovagemoor/proxy/pool/target_pool.hpp>
 #include <lovagemoor/proxy/promotion/promoter.hpp>
 #include <lovagemoor/proxy/routing/primary_checks.hpp>
@@ -131,7 +132,8 @@
     void retry_or_refuse(session& caller, const core::target_id& target, statement_error error);
     void refuse(session& caller, statement_error error);
     void expire(session& caller);
-    [[nodiscard]] unsigned connection_share(const target_state& target) const;
+    [[nodiscard]] connection_limit limit_of(const target_state& target) const;
+    [[nodiscard]] unsigned kept_connections(const target_state& target) const;
 
     // Replies of targets, engine_replies.cpp
     void on_leadership_reply(target_connection& connection, const expected_reply& expected,
@@ -171,6 +173,7 @@
     void keep_sessions();
     void keep_connections();
     [[nodiscard]] std::vector<core::connection_id> spare_connections() const;
+    void close_spare_connections();
     void keep_stopping();
     void run_promoter();
     [[nodiscard]] service_outlook outlook_of(const core::service_id& id, service_state& state);
--- a/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
@@ -32,6 +32,8 @@
     /// Connections beyond half of the share are closed after this time without use, so that hosts
     /// that restart find connections free while their former ones linger at the targets.
     std::chrono::milliseconds spare_idle{1500};
+    /// The same where hosts outnumber a target's connections.
+    std::chrono::milliseconds scarce_spare_idle{400};
     /// Pause between probes of all targets while a service has no known primary.
     std::chrono::milliseconds search_interval{150};
     /// A primary that failed for this long is suspected.
--- a/packages/proxy/include/lovagemoor/proxy/pool/connection_share.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/pool/connection_share.hpp
@@ -1,13 +1,41 @@
 #pragma once
 
+#include <lovagemoor/core/ids.hpp>
+
 #include <cstddef>
+#include <vector>
 
 namespace lovagemoor::proxy {
 
-/// @brief This host's part of the connections that a target accepts from all hosts.
-/// @param limit The target's limit; 0 if unknown.
-/// @param hosts Live hosts, this one included; 0 if unknown.
+/// @brief A target's limit on connections and the hosts that share it.
+struct connection_limit {
+    /// Connections that the target accepts from all hosts; 0 if unknown.
+    unsigned connections = 0;
+    /// Live hosts, this one included; 0 if unknown.
+    std::size_t hosts = 0;
+    /// Statements that the target executes at a time.
+    unsigned slots = 1;
+};
+
+/// @brief Most connections that this host opens to a target.
+///
+/// Hosts rarely need their shares at the same time, and one host may serve far more callers than
+/// another, so that a host may exceed its share as far as a target can make use of it. The target
+/// itself enforces its limit.
 /// @return At least 1.
-[[nodiscard]] unsigned connection_share(unsigned limit, std::size_t hosts) noexcept;
+[[nodiscard]] unsigned most_connections(const connection_limit& limit) noexcept;
+
+/// @brief Connections that this host keeps open to a target without use.
+///
+/// Half of the share: the rest is left to hosts that restart while the connections of their former
+/// processes linger. Where the share is below two connections, only a host's home target keeps one.
+[[nodiscard]] unsigned kept_connections(const connection_limit& limit, bool home) noexcept;
+
+/// @brief Chooses the replica that a host keeps connected when connections are scarce.
+///
+/// Rendezvous hashing spreads the hosts evenly and moves few of them when replicas change.
+/// @param candidates Not empty.
+[[nodiscard]] core::target_id home_target(const core::host_id& host,
+                                          const std::vector<core::target_id>& candidates);
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/include/lovagemoor/proxy/pool/target_connection.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/pool/target_connection.hpp
@@ -52,7 +52,8 @@
     std::deque<expected_reply> expected;
     /// The session that uses or last used it; 0 for none.
     session_id user = 0;
-    core::time_point phase_since;
+    /// Last use for a session; probes do not count.
+    core::time_point last_used;
 };
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/include/lovagemoor/proxy/pool/target_pool.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/pool/target_pool.hpp
@@ -21,6 +21,8 @@
     std::optional<core::time_point> removed_at;
     std::vector<core::connection_id> idle;
     unsigned opening = 0;
+    /// Connections kept open without use.
+    unsigned kept = 0;
     unsigned in_use = 0;
     /// Last reply or opened connection.
     core::time_point last_contact;
--- a/packages/proxy/include/lovagemoor/proxy/registry/registry_call.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/registry_call.hpp
@@ -28,6 +28,8 @@
     std::string prefix;
     /// Last key of the page before; empty for the first page.
     std::string after_key;
+    /// The answer may be seconds old; such a call is cheaper.
+    bool may_be_stale = false;
 };
 
 struct watch_items {
--- a/packages/proxy/include/lovagemoor/proxy/registry/registry_follower.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/registry_follower.hpp
@@ -16,6 +16,11 @@
     /// Longest time that a watch waits; each watch is a paid call. Silent connections are found by
     /// keep-alive probes.
     std::chrono::milliseconds watch_wait{25000};
+    /// Pause after changes before the next watch, so that changes that come together take one call.
+    std::chrono::milliseconds watch_pause{0};
+    /// The items are listed anew after this time instead of watched; 0 to watch. For items whose
+    /// changes are many and not urgent.
+    std::chrono::milliseconds poll_interval{0};
     std::chrono::milliseconds retry_pause{150};
     std::chrono::milliseconds retry_pause_max{600};
 };
@@ -50,6 +55,7 @@
 
 private:
     void on_failure(core::time_point now);
+    [[nodiscard]] bool polls() const noexcept { return settings_.poll_interval.count() > 0; }
 
     std::string prefix_;
     follower_settings settings_;
--- a/packages/proxy/src/engine/engine_isolation.cpp
+++ b/packages/proxy/src/engine/engine_isolation.cpp
@@ -6,19 +6,19 @@
 namespace lovagemoor::proxy {
 
 bool engine::is_isolated() const {
-    std::size_t outside = 0;
-    std::size_t unreachable_outside = 0;
+    std::size_t unreachable = 0;
     for (const auto& [id, target] : pool_.targets()) {
         if (target.removed_at.has_value() || target.record.domain == settings_.domain) {
             continue;
         }
-        ++outside;
         if (target.failing_since.has_value() &&
             now_ - *target.failing_since >= settings_.unreachable_after) {
-            ++unreachable_outside;
+            ++unreachable;
+        } else if (target.kept > 0 || now_ - target.last_contact < settings_.contact_interval) {
+            return false;
         }
     }
-    return outside > 1 && unreachable_outside == outside;
+    return unreachable > 1;
 }
 
 void engine::keep_isolation() {
--- a/packages/proxy/src/engine/engine_replies.cpp
+++ b/packages/proxy/src/engine/engine_replies.cpp
@@ -306,7 +306,8 @@
          {"reason", internal::to_string(input.reason)},
          {"was_open", was_open ? "true" : "false"}});
     if (target != nullptr && !was_open) {
-        ++target->connect_failures;
+        const bool full = input.reason == target_close_reason::connection_limit;
+        target->connect_failures = full ? 1 : target->connect_failures + 1;
         const unsigned doublings = std::min(target->connect_failures - 1, 5U);
         target->connect_after =
             now_ + std::min<core::duration>(settings_.connect_backoff * (1U << doublings),
--- a/packages/proxy/src/engine/engine_requests.cpp
+++ b/packages/proxy/src/engine/engine_requests.cpp
@@ -55,14 +55,34 @@
     return !target.record.draining || now_ - target.draining_since < settings_.draining_use;
 }
 
-unsigned engine::connection_share(const target_state& target) const {
-    if (!configuration_.has_value()) {
-        return 1;
-    }
-    const auto limits = configuration_->services.find(target.record.service);
-    const unsigned limit =
-        limits == configuration_->services.end() ? 0 : limits->second.max_connections;
-    return proxy::connection_share(limit, hosts_.size());
+connection_limit engine::limit_of(const target_state& target) const {
+    connection_limit limit{0, hosts_.size(), target.record.slots};
+    if (configuration_.has_value()) {
+        const auto limits = configuration_->services.find(target.record.service);
+        if (limits != configuration_->services.end()) {
+            limit.connections = limits->second.max_connections;
+        }
+    }
+    return limit;
+}
+
+unsigned engine::kept_connections(const target_state& target) const {
+    std::vector<core::target_id> replicas;
+    std::vector<core::target_id> local;
+    for (const auto& [id, other] : pool_.targets()) {
+        if (other.record.service != target.record.service || other.removed_at.has_value() ||
+            other.record.claims_primary) {
+            continue;
+        }
+        replicas.push_back(id);
+        if (other.record.domain == settings_.domain) {
+            local.push_back(id);
+        }
+    }
+    const std::vector<core::target_id>& near = local.empty() ? replicas : local;
+    const bool home =
+        !near.empty() && home_target(settings_.host, near) == target.record.id;
+    return proxy::kept_connections(limit_of(target), home);
 }
 
 void engine::place(session& caller) {
@@ -179,7 +199,7 @@
 }
 
 bool engine::may_open(const target_state& target) const {
-    return now_ >= target.connect_after && target.connections() < connection_share(target);
+    return now_ >= target.connect_after && target.connections() < most_connections(limit_of(target));
 }
 
 void engine::open_connection(target_state& target) {
--- a/packages/proxy/src/engine/engine_upkeep.cpp
+++ b/packages/proxy/src/engine/engine_upkeep.cpp
@@ -61,10 +61,7 @@
             silent.push_back(id);
         }
     }
-    for (const core::connection_id id : spare_connections()) {
-        out_.emplace_back(close_target{id});
-        pool_.erase(id);
-    }
+    close_spare_connections();
     for (const core::connection_id id : silent) {
         const core::target_id target = pool_.find(id)->target;
         const core::time_point sent = pool_.find(id)->expected.front().sent;
@@ -74,15 +71,24 @@
     }
 }
 
+void engine::close_spare_connections() {
+    for (const core::connection_id id : spare_connections()) {
+        out_.emplace_back(close_target{id});
+        pool_.erase(id);
+    }
+}
+
 std::vector<core::connection_id> engine::spare_connections() const {
     std::vector<core::connection_id> spare;
     for (const auto& [id, target] : pool_.targets()) {
-        const std::size_t kept = std::max(1U, connection_share(target) / 2);
+        const std::size_t kept = target.kept;
+        const core::duration longest =
+            target.kept > 0 ? settings_.spare_idle : settings_.scarce_spare_idle;
         std::size_t open = target.connections();
         // The idle connections are in the order of their last use.
         for (const core::connection_id connection : target.idle) {
-            const core::time_point since = pool_.connections().at(connection).phase_since;
-            if (open <= kept || now_ - since < settings_.spare_idle) {
+            const core::time_point since = pool_.connections().at(connection).last_used;
+            if (open <= kept || now_ - since < longest) {
                 break;
             }
             spare.push_back(connection);
@@ -95,6 +101,7 @@
 void engine::keep_targets() {
     std::vector<core::target_id> gone;
     for (auto& [id, target] : pool_.targets()) {
+        target.kept = kept_connections(target);
         if (!target.removed_at.has_value()) {
             keep_contact(target);
         } else if (!usable(target) && target.in_use == 0) {
@@ -108,11 +115,13 @@
 
 void engine::keep_contact(target_state& target) {
     if (target.connections() == 0) {
-        open_connection(target);
+        if (target.kept > 0) {
+            open_connection(target);
+        }
         return;
     }
     const core::time_point last = std::max(target.last_contact, target.last_probe);
-    if (now_ - last > settings_.contact_interval) {
+    if (target.kept > 0 && now_ - last > settings_.contact_interval) {
         probe(target);
     }
 }
--- a/packages/proxy/src/pool/target_pool.cpp
+++ b/packages/proxy/src/pool/target_pool.cpp
@@ -64,7 +64,7 @@
     target_connection& connection = connections_[id];
     connection.id = id;
     connection.target = target.record.id;
-    connection.phase_since = now;
+    connection.last_used = now;
     ++target.opening;
     return connection;
 }
@@ -72,7 +72,9 @@
 void target_pool::on_opened(target_connection& connection, core::time_point now) {
     detach(connection);
     connection.phase = connection_phase::idle;
-    connection.phase_since = now;
+    if (connection.user != 0) {
+        connection.last_used = now;
+    }
     if (target_state* const target = find(connection.target)) {
         target->idle.push_back(connection.id);
     }
@@ -90,8 +92,10 @@
     target_connection& connection = connections_.at(*chosen);
     target.idle.erase(chosen);
     connection.phase = connection_phase::in_use;
-    connection.phase_since = now;
     connection.user = session;
+    if (session != 0) {
+        connection.last_used = now;
+    }
     ++target.in_use;
     return &connection;
 }
--- a/packages/proxy/src/registry/registry_follower.cpp
+++ b/packages/proxy/src/registry/registry_follower.cpp
@@ -14,7 +14,7 @@
     }
     under_way_ = true;
     if (listing_) {
-        return list_items{prefix_, after_key_};
+        return list_items{prefix_, after_key_, polls()};
     }
     return watch_items{prefix_, revision_, settings_.watch_wait};
 }
@@ -39,7 +39,8 @@
         return {};
     }
     after_key_.clear();
-    listing_ = false;
+    listing_ = polls();
+    retry_at_ = polls() ? now + settings_.poll_interval : now;
     return update{true, std::exchange(listed_, {})};
 }
 
@@ -57,6 +58,9 @@
     }
     failures_ = 0;
     revision_ = std::max(revision_, changes.revision);
+    if (!changes.changes.empty()) {
+        retry_at_ = now + settings_.watch_pause;
+    }
     return update{false, changes.changes};
 }
 
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -17,19 +17,26 @@
 
 /// @name Keys of this project in the registry
 /// @{
-constexpr std::string_view cluster_prefix = "lovagemoor/";
 /// The host's id follows; the value is its failure domain.
 constexpr std::string_view hosts_prefix = "lovagemoor/hosts/";
+/// All that concerns promotions.
+constexpr std::string_view promotion_prefix = "lovagemoor/promotion/";
 /// Service and reporting host follow; the value is the suspected target.
-constexpr std::string_view suspicions_prefix = "lovagemoor/suspicions/";
+constexpr std::string_view suspicions_prefix = "lovagemoor/promotion/suspicions/";
 /// The value is the host that may promote; the item's revision is its fencing token.
-constexpr std::string_view duty_key = "lovagemoor/duty";
+constexpr std::string_view duty_key = "lovagemoor/promotion/duty";
 /// @}
 
 /// A host that stopped without a word is forgotten after this time; its connections at targets are
 /// gone by then.
 constexpr std::chrono::seconds registration_duration{9};
 
+/// The list of hosts decides only on shares of connections and on majorities.
+constexpr std::chrono::seconds hosts_poll_interval{8};
+
+/// Targets that start together are learned of in one call.
+constexpr std::chrono::milliseconds targets_watch_pause{200};
+
 /// Pause between checks whether a call to the registry is due.
 constexpr std::chrono::milliseconds registry_interval{100};
 
@@ -73,8 +80,11 @@
                     [this](const std::string& path) { return answer_path(path); }},
       store_{context_, settings.registry_address, settings.call_timeout},
       configuration_follower_{std::string{platform_adapter::configuration_key}},
-      targets_follower_{std::string{platform_adapter::targets_prefix}},
-      cluster_follower_{std::string{internal::cluster_prefix}},
+      targets_follower_{std::string{platform_adapter::targets_prefix},
+                        {.watch_pause = internal::targets_watch_pause}},
+      hosts_follower_{std::string{internal::hosts_prefix},
+                      {.poll_interval = internal::hosts_poll_interval}},
+      promotion_follower_{std::string{internal::promotion_prefix}},
       registration_{std::string{internal::hosts_prefix} + settings.id.value, settings.domain.value,
                     internal::registration_duration},
       timer_{context_},
@@ -191,7 +201,8 @@
     keep_registration();
     follow(configuration_follower_);
     follow(targets_follower_);
-    follow(cluster_follower_);
+    follow(hosts_follower_);
+    follow(promotion_follower_);
     registry_timer_.expires_after(internal::registry_interval);
     registry_timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
@@ -236,7 +247,7 @@
             log(core::log_event::level::warning,
                 was_connected ? "registry_lost" : "registry_regained",
                 {{"prefix", follower.prefix()}});
-            handle(proxy::registry_reachable{cluster_follower_.connected()});
+            handle(proxy::registry_reachable{promotion_follower_.connected()});
         }
         apply(follower, update);
         follow(follower);
@@ -264,8 +275,12 @@
         }
     } else if (&follower == &targets_follower_) {
         apply_targets(update);
+    } else if (&follower == &hosts_follower_) {
+        apply_hosts(update);
     } else {
-        apply_cluster(update);
+        for (const proxy::item_change& change : update.changes) {
+            apply_promotion(change);
+        }
     }
 }
 
@@ -310,25 +325,25 @@
     }
 }
 
-void session_host::apply_cluster(const proxy::registry_follower::update& update) {
-    if (update.complete) {
-        proxy::hosts_listed listed;
-        for (const proxy::item_change& change : update.changes) {
-            if (change.item.key.starts_with(internal::hosts_prefix)) {
-                listed.hosts.push_back({core::host_id{internal::last_part(change.item.key)},
-                                        core::domain_id{change.item.value}});
-            }
-        }
-        handle(listed);
+void session_host::apply_hosts(const proxy::registry_follower::update& update) {
+    if (!update.complete) {
+        return;
     }
+    proxy::hosts_listed listed;
+    bool registered = false;
     for (const proxy::item_change& change : update.changes) {
-        apply_cluster_item(change);
+        const core::host_id host{internal::last_part(change.item.key)};
+        registered = registered || host == settings_.id;
+        listed.hosts.push_back({host, core::domain_id{change.item.value}});
     }
+    if (!registered) {
+        registration_.on_lost(internal::now());
+    }
+    handle(listed);
 }
 
-void session_host::apply_cluster_item(const proxy::item_change& change) {
+void session_host::apply_promotion(const proxy::item_change& change) {
     const std::string& key = change.item.key;
-    const core::host_id host{internal::last_part(key)};
     if (key == internal::duty_key) {
         if (change.removed) {
             handle(proxy::duty_released{});
@@ -336,16 +351,8 @@
             // The answer to the claim was lost.
             finish_claim({proxy::duty_claim_result::acquired, change.item.revision, {}});
         }
-    } else if (key.starts_with(internal::hosts_prefix)) {
-        if (change.removed && host == settings_.id) {
-            registration_.on_lost(internal::now());
-        }
-        if (change.removed) {
-            handle(proxy::host_left{host});
-        } else {
-            handle(proxy::host_joined{{host, core::domain_id{change.item.value}}});
-        }
     } else if (key.starts_with(internal::suspicions_prefix)) {
+        const core::host_id host{internal::last_part(key)};
         const std::size_t start = internal::suspicions_prefix.size();
         const core::service_id service{key.substr(start, key.rfind('/') - start)};
         if (change.removed) {
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -47,8 +47,8 @@
                const proxy::registry_follower::update& update);
     void apply_configuration(const proxy::item_change& change);
     void apply_targets(const proxy::registry_follower::update& update);
-    void apply_cluster(const proxy::registry_follower::update& update);
-    void apply_cluster_item(const proxy::item_change& change);
+    void apply_hosts(const proxy::registry_follower::update& update);
+    void apply_promotion(const proxy::item_change& change);
     void finish_claim(const proxy::duty_claimed& result);
     void keep_registration();
     void keep_registry();
@@ -70,7 +70,8 @@
     std::optional<platform_adapter::promotion_client> promotions_;
     proxy::registry_follower configuration_follower_;
     proxy::registry_follower targets_follower_;
-    proxy::registry_follower cluster_follower_;
+    proxy::registry_follower hosts_follower_;
+    proxy::registry_follower promotion_follower_;
     proxy::lease_keeper registration_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer registry_timer_;
