--- a/packages/gateway/src/line_stream.cpp
+++ b/packages/gateway/src/line_stream.cpp
@@ -20,7 +20,7 @@
 /// Longest time that sent bytes may stay unacknowledged.
 constexpr unsigned user_timeout_ms = 2500;
 
-constexpr std::size_t read_size = 32U * 1024U;
+constexpr std::size_t read_size = std::size_t{32} * 1024;
 
 } // namespace
 
--- a/packages/proxy/include/lovagemoor/proxy/log_point.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/log_point.hpp
@@ -12,7 +12,12 @@
     core::log_position position = 0;
 
     friend bool operator==(const log_point&, const log_point&) = default;
-    friend auto operator<=>(const log_point&, const log_point&) = default;
+
+    friend constexpr std::strong_ordering operator<=>(const log_point& left,
+                                                      const log_point& right) noexcept {
+        return left.term == right.term ? left.position <=> right.position
+                                       : left.term <=> right.term;
+    }
 };
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/src/engine/engine_requests.cpp
+++ b/packages/proxy/src/engine/engine_requests.cpp
@@ -123,7 +123,7 @@
     work.check_leadership = needs_primary(caller);
     if (!work.check_leadership) {
         if (const std::optional<log_point> bound = required_point(caller)) {
-            const std::optional<core::target_id> chosen = choose_replica(caller, *bound);
+            std::optional<core::target_id> chosen = choose_replica(caller, *bound);
             if (chosen.has_value()) {
                 return chosen;
             }
--- /dev/null
+++ b/standins/session/src/standin_store.cpp
@@ -0,0 +1,124 @@
+#include <lovagemoor/session_standins/standin_store.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <openssl/evp.h>
+
+#include <stdexcept>
+#include <utility>
+
+namespace lovagemoor::session_standins {
+
+namespace internal {
+
+namespace {
+
+using json = nlohmann::json;
+
+std::string to_base64(const std::string& bytes) {
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                                       reinterpret_cast<const unsigned char*>(bytes.data()),
+                                       static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
+/// @return The value of a query parameter, without decoding; empty if it is missing.
+std::string parameter(const std::string& target, const std::string& name) {
+    const std::size_t query = target.find('?');
+    const std::size_t found = target.find(name + "=", query == std::string::npos ? 0 : query);
+    if (query == std::string::npos || found == std::string::npos) {
+        return {};
+    }
+    const std::size_t start = found + name.size() + 1;
+    return target.substr(start, target.find('&', start) - start);
+}
+
+gateway::http_server::answer json_answer(const json& body) {
+    return {200, "application/json", body.dump()};
+}
+
+} // namespace
+
+} // namespace internal
+
+standin_store::standin_store(boost::asio::io_context& context)
+    : server_{context, "127.0.0.1:0",
+              [this](const gateway::http_server::request& request) { return respond(request); }} {}
+
+std::string standin_store::address() const {
+    return "127.0.0.1:" + std::to_string(server_.port());
+}
+
+void standin_store::put(const std::string& key, const std::string& value) {
+    items_[key] = item{value, ++revision_};
+}
+
+gateway::http_server::answer standin_store::respond(const gateway::http_server::request& request) {
+    const std::string path = request.target.substr(0, request.target.find('?'));
+    if (path == "/v1/kv-range") {
+        return list(internal::parameter(request.target, "path_prefix"));
+    }
+    if (path == "/v1/kv-watch") {
+        return changes(internal::parameter(request.target, "path_prefix"),
+                       std::stoull(internal::parameter(request.target, "after")));
+    }
+    if (path == "/v1/kv-txn") {
+        return write(request.body);
+    }
+    if (path == "/v1/kv-lease") {
+        return internal::json_answer({{"lease", ++last_lease_}, {"ttl_ms", 9000}});
+    }
+    if (path.starts_with("/v1/kv-keep/")) {
+        return internal::json_answer({{"ttl_ms", 9000}});
+    }
+    return {404, "text/plain", "unknown call"};
+}
+
+gateway::http_server::answer standin_store::list(const std::string& prefix) const {
+    internal::json items = internal::json::array();
+    for (const auto& [key, held] : items_) {
+        if (key.starts_with(prefix)) {
+            items.push_back({{"key", key},
+                             {"value", internal::to_base64(held.value)},
+                             {"revision", held.revision}});
+        }
+    }
+    return internal::json_answer(
+        {{"items", items}, {"has_more", false}, {"current_rev", revision_}});
+}
+
+gateway::http_server::answer standin_store::changes(const std::string& prefix,
+                                                    std::uint64_t after) const {
+    internal::json events = internal::json::array();
+    for (const auto& [key, held] : items_) {
+        if (key.starts_with(prefix) && held.revision > after) {
+            events.push_back({{"key", key},
+                              {"value", internal::to_base64(held.value)},
+                              {"revision", held.revision}});
+        }
+    }
+    return internal::json_answer({{"events", events}, {"current_rev", revision_}});
+}
+
+gateway::http_server::answer standin_store::write(const std::string& body) {
+    const internal::json request = internal::json::parse(body);
+    for (const internal::json& expected : request.at("expected_rev")) {
+        const auto found = items_.find(expected.at("key").get<std::string>());
+        const std::uint64_t held = found == items_.end() ? 0 : found->second.revision;
+        if (held != expected.at("revision").get<std::uint64_t>()) {
+            return {412, "application/json", R"({"items":[]})"};
+        }
+    }
+    ++revision_;
+    for (const internal::json& written : request.at("writes")) {
+        items_[written.at("key").get<std::string>()] = item{"", revision_};
+    }
+    for (const internal::json& removed : request.at("remove")) {
+        items_.erase(removed.get<std::string>());
+    }
+    return internal::json_answer({{"revision", revision_}});
+}
+
+} // namespace lovagemoor::session_standins
--- /dev/null
+++ b/tests/process/session_host_test.cpp
@@ -0,0 +1,190 @@
+#include <lovagemoor/session_standins/standin_database.hpp>
+#include <lovagemoor/session_standins/standin_store.hpp>
+#include <lovagemoor/testbed/child_process.hpp>
+#include <lovagemoor/testbed/free_ports.hpp>
+#include <lovagemoor/testbed/programs.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <cstdint>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lovagemoor {
+
+namespace {
+
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+
+/// @brief A host in a process of its own, with stand-ins of the store and of one database.
+class running_host {
+public:
+    running_host()
+        : store_{context_},
+          database_{context_},
+          ports_{testbed::free_ports(2)},
+          directory_{std::filesystem::temp_directory_path() /
+                     ("lovagemoor-sessions-" + std::to_string(ports_.front()))} {
+        store_.put("op/config", R"({"config_version":1,"routes":[{"host":"orders","service":"s",)"
+                                R"("route_type":"primary","timeout_ms":5000}],)"
+                                R"("services":[{"name":"s","max_connections":10}]})");
+        store_.put("servers/i-1",
+                   R"({"service":"s","address":")" + database_.address() +
+                       R"(","zone":"a","slots":2,"state":"ready","db_role":"primary"})");
+        std::filesystem::create_directories(directory_);
+        write_settings("info");
+        standins_ = std::thread{[this] { context_.run(); }};
+        host_.emplace(std::vector<std::string>{testbed::host_program(), "--sessions",
+                                               "--settings=" + settings_path()},
+                      (directory_ / "host.log").string());
+        static_cast<void>(host_->wait_ready(20s));
+    }
+
+    running_host(const running_host&) = delete;
+    running_host& operator=(const running_host&) = delete;
+    running_host(running_host&&) = delete;
+    running_host& operator=(running_host&&) = delete;
+
+    ~running_host() {
+        host_.reset();
+        context_.stop();
+        standins_.join();
+        std::error_code ignored;
+        std::filesystem::remove_all(directory_, ignored);
+    }
+
+    void write_settings(const std::string& level) const {
+        std::ofstream file{settings_path()};
+        file << "[host]\nid = host-1\nfailure_domain = a\ncaller_listen = " << address(0)
+             << "\nready_listen = " << address(1)
+             << "\nstop_grace_s = 3\n[registry]\naddress = " << store_.address()
+             << "\n[log]\nlevel = " << level << "\n";
+    }
+
+    testbed::child_process& process() { return *host_; }
+
+    [[nodiscard]] std::uint16_t caller_port() const { return ports_[0]; }
+
+private:
+    [[nodiscard]] std::string settings_path() const { return (directory_ / "host.ini").string(); }
+
+    [[nodiscard]] std::string address(std::size_t index) const {
+        return "127.0.0.1:" + std::to_string(ports_[index]);
+    }
+
+    boost::asio::io_context context_;
+    session_standins::standin_store store_;
+    session_standins::standin_database database_;
+    std::vector<std::uint16_t> ports_;
+    std::filesystem::path directory_;
+    std::thread standins_;
+    std::optional<testbed::child_process> host_;
+};
+
+/// @brief A caller's session; waits for each answer.
+class caller {
+public:
+    explicit caller(std::uint16_t port) : socket_{context_} {
+        // The host listens from its start, but refuses statements until it has its configuration.
+        for (int attempt = 0; attempt < 100; ++attempt) {
+            socket_ = tcp::socket{context_};
+            socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+            send("STARTUP orders test");
+            if (read_line() == "READY I -" &&
+                !run("READ probe").front().starts_with("ERROR BUSY")) {
+                return;
+            }
+            std::this_thread::sleep_for(100ms);
+        }
+        BOOST_FAIL("no session");
+    }
+
+    /// @return The lines of the answer, its state line included.
+    std::vector<std::string> run(const std::string& text) {
+        send("QUERY q" + std::to_string(++last_) + " " + text);
+        std::vector<std::string> lines;
+        do {
+            lines.push_back(read_line());
+        } while (!lines.back().empty() && !lines.back().starts_with("READY"));
+        return lines;
+    }
+
+    /// @return True if the host has closed the session.
+    bool closed() { return read_line().empty(); }
+
+private:
+    void send(const std::string& line) {
+        boost::asio::write(socket_, boost::asio::buffer(line + "\r\n"));
+    }
+
+    std::string read_line() {
+        boost::system::error_code error;
+        const std::size_t length =
+            boost::asio::read_until(socket_, boost::asio::dynamic_buffer(received_), '\n', error);
+        if (error) {
+            return {};
+        }
+        const std::string line = received_.substr(0, length - 2);
+        received_.erase(0, length);
+        return line;
+    }
+
+    boost::asio::io_context context_;
+    tcp::socket socket_;
+    std::string received_;
+    int last_ = 0;
+};
+
+} // namespace
+
+// Guards the whole path: a caller's statements through the real program to a database.
+BOOST_AUTO_TEST_CASE(statements_and_transactions_are_served) {
+    running_host host;
+    caller session{host.caller_port()};
+    BOOST_TEST(session.run("WRITE kit-1 blue").front() == "COMPLETE signed");
+    BOOST_TEST(session.run("READ kit-1").front() == "DATAROW blue");
+    BOOST_TEST(session.run("BEGIN").back().starts_with("READY T"));
+    BOOST_TEST(session.run("WRITE kit-1 green").front() == "COMPLETE signed");
+    BOOST_TEST(session.run("ROLLBACK").back().starts_with("READY I"));
+    BOOST_TEST(session.run("READ kit-1").front() == "DATAROW blue");
+    BOOST_TEST(session.run("EXECUTE unknown kit-1").front().starts_with("ERROR NOPREPARED"));
+}
+
+// Found on a fresh day of dala-ops: SIGHUP ended the process (code 129).
+BOOST_AUTO_TEST_CASE(a_reload_keeps_the_process_and_its_sessions) {
+    running_host host;
+    caller session{host.caller_port()};
+    BOOST_TEST(session.run("WRITE kit-1 blue").front() == "COMPLETE signed");
+    host.write_settings("debug");
+    host.process().signal(SIGHUP);
+    BOOST_TEST(!host.process().wait(500ms).has_value());
+    BOOST_TEST(session.run("READ kit-1").front() == "DATAROW blue");
+    host.write_settings("no such level");
+    host.process().signal(SIGHUP);
+    BOOST_TEST(!host.process().wait(500ms).has_value());
+    BOOST_TEST(session.run("READ kit-1").front() == "DATAROW blue");
+}
+
+// Guards against a planned stop that cuts a transaction.
+BOOST_AUTO_TEST_CASE(a_stop_lets_a_transaction_end) {
+    running_host host;
+    caller session{host.caller_port()};
+    session.run("BEGIN");
+    session.run("WRITE kit-1 blue");
+    host.process().signal(SIGTERM);
+    BOOST_TEST(session.run("COMMIT").front() == "COMPLETE signed");
+    BOOST_TEST(session.closed());
+    BOOST_TEST((host.process().wait(10s) == std::optional<int>{0}));
+}
+
+} // namespace lovagemoor
