Log requests with the inputs of their decisions; count outcomes and times

Refused, retried, late, timed-out, in-doubt and aborted statements are lines of their own with id, service, primary, age, time at the target, age of the newest proof of leadership and configuration version.

--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -186,6 +186,9 @@
     void keep_hosts();
     void start_inspections();
 
+    void log_request(const char* name, const session& caller, std::string reason);
+    void log_if_late(const session& caller);
+    void count_request(const request& work, const char* outcome);
     void log(core::log_event::level severity, std::string name,
              std::vector<std::pair<std::string, std::string>> fields);
     void count(std::string name, std::vector<std::pair<std::string, std::string>> labels);
--- a/packages/proxy/include/lovagemoor/proxy/session/statement_result.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/session/statement_result.hpp
@@ -45,6 +45,9 @@
     return kind <= statement_error_kind::connection_limit;
 }
 
+/// @return The name in logs and metrics.
+[[nodiscard]] const char* to_string(statement_error_kind kind) noexcept;
+
 struct statement_error {
     statement_error_kind kind = statement_error_kind::other;
     /// For people; for a target's errors as the target sent it.
--- a/packages/proxy/src/engine/engine_replies.cpp
+++ b/packages/proxy/src/engine/engine_replies.cpp
@@ -234,9 +234,10 @@
         }
         caller.seen_service = service;
     }
+    log_if_late(caller);
+    count_request(work, result.error.has_value() ? to_string(result.error->kind) : "done");
     caller.current.reset();
-    statement_result answered = result;
-    answer(caller, std::move(answered));
+    answer(caller, result);
     close_if_done(caller);
     start_backlog(id);
 }
@@ -264,6 +265,9 @@
             wait(caller, wait_reason::connection);
             return;
         }
+        log_request("transaction_failed", caller,
+                    std::string{to_string(error.kind)} + " at " + target.value);
+        count_request(work, to_string(error.kind));
         caller.current.reset();
         detach_transaction(caller);
         caller.state = session_state::failed_transaction;
@@ -285,6 +289,8 @@
         caller.transaction.reset();
         caller.state = session_state::idle;
     }
+    log_if_late(caller);
+    count_request(work, "done");
     caller.current.reset();
     answer(caller, result);
     close_if_done(caller);
--- a/packages/proxy/src/engine/engine_requests.cpp
+++ b/packages/proxy/src/engine/engine_requests.cpp
@@ -19,6 +19,20 @@
     return target_command{kind, {}, std::move(name), std::move(argument), std::nullopt, 0};
 }
 
+/// @return Name of the log event for a request that ends with an error of this host.
+const char* event_of(statement_error_kind kind) {
+    switch (kind) {
+    case statement_error_kind::in_doubt:
+        return "statement_in_doubt";
+    case statement_error_kind::timeout:
+        return "statement_timed_out";
+    case statement_error_kind::aborted:
+        return "transaction_aborted";
+    default:
+        return "statement_refused";
+    }
+}
+
 /// The name under which all sessions share a prepared statement on a connection.
 std::string shared_name(const prepared_statement& prepared) {
     return (prepared.read_only ? "r_" : "w_") + prepared.shape;
@@ -357,8 +371,8 @@
                              statement_error error) {
     request& work = *caller.current;
     work.connection = 0;
-    log(core::log_event::level::info, "statement_retried",
-        {{"id", work.work.id}, {"target", target.value}, {"reason", error.text}});
+    log_request("statement_retried", caller,
+                std::string{to_string(error.kind)} + " at " + target.value);
     work.last_error = std::move(error);
     work.avoided.push_back(target);
     if (work.attempts >= settings_.max_attempts) {
@@ -370,12 +384,8 @@
 
 void engine::refuse(session& caller, statement_error error) {
     const request& work = *caller.current;
-    log(core::log_event::level::info, "statement_refused",
-        {{"id", work.work.id},
-         {"service", work.via->service.value},
-         {"reason", error.text},
-         {"attempts", std::to_string(work.attempts)},
-         {"waited_ms", std::to_string((now_ - work.received).count() / 1000)}});
+    log_request(internal::event_of(error.kind), caller, error.text);
+    count_request(work, to_string(error.kind));
     std::erase(services_[work.via->service].waiting, caller.id);
     caller.current.reset();
     if (caller.transaction.has_value()) {
@@ -386,6 +396,47 @@
     close_if_done(caller);
 }
 
+void engine::log_request(const char* name, const session& caller, std::string reason) {
+    const request& work = *caller.current;
+    const auto milliseconds = [](core::duration value) {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+    };
+    const service_state& service = services_[work.via->service];
+    const std::optional<core::time_point> check = service.checks.newest();
+    const bool sent = work.phase == request_phase::running;
+    log(core::log_event::level::info, name,
+        {{"id", work.work.id},
+         {"session", std::to_string(caller.id)},
+         {"database", caller.database},
+         {"service", work.via->service.value},
+         {"primary", service.view.primary().has_value() ? service.view.primary()->value : "none"},
+         {"reason", std::move(reason)},
+         {"attempts", std::to_string(work.attempts)},
+         {"age_ms", milliseconds(now_ - work.received)},
+         {"at_target_ms", sent ? milliseconds(now_ - work.sent) : "0"},
+         {"check_age_ms", check.has_value() ? milliseconds(now_ - *check) : "none"},
+         {"configuration",
+          std::to_string(configuration_.has_value() ? configuration_->version : -1)}});
+}
+
+void engine::count_request(const request& work, const char* outcome) {
+    const char* const route_type = work.via->reads == read_consistency::latest ? "latest"
+                                   : work.via->reads == read_consistency::bounded_staleness
+                                       ? "bounded_staleness"
+                                       : "read_your_writes";
+    count("lovagemoor_statements_total", {{"outcome", outcome}, {"route_type", route_type}});
+    out_.emplace_back(core::observe_duration{
+        "lovagemoor_statement_seconds", {{"route_type", route_type}}, now_ - work.received});
+}
+
+void engine::log_if_late(const session& caller) {
+    const request& work = *caller.current;
+    if (work.via->latency_objective.count() > 0 &&
+        now_ - work.received > work.via->latency_objective) {
+        log_request("statement_late", caller, "answered after the latency objective");
+    }
+}
+
 void engine::expire(session& caller) {
     const request& work = *caller.current;
     if (work.phase != request_phase::running) {
