--- a/programs/lovagemoorctl/src/exit_code.hpp
+++ b/programs/lovagemoorctl/src/exit_code.hpp
@@ -2,7 +2,7 @@
 
 namespace lovagemoor::ctl {
 
-/// @brief Exit codes of lovagemoorctl, documented in docs/operations.md.
+/// @brief Exit codes of lovagemoorctl, documented in docs/OPERATIONS.md.
 enum class exit_code : int {
     ok = 0,
     /// The change was refused as invalid or conflicts with another one.
--- a/programs/lovagemoord/src/main.cpp
+++ b/programs/lovagemoord/src/main.cpp
@@ -24,7 +24,7 @@
 
 namespace {
 
-/// Exit codes, documented in docs/operations.md.
+/// Exit codes, documented in docs/OPERATIONS.md.
 enum exit_code : int {
     exit_ok = 0,
     exit_failed = 1,
