Order waiting requests by what still answers in time; refuse what the queue cannot reach

Cause: on a crest requests waited in order of arrival, so that all were late, and those that could not be served were told so only at their deadline.

--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -5,6 +5,7 @@
 #include <lovagemoor/proxy/engine/action.hpp>
 #include <lovagemoor/proxy/engine/engine_settings.hpp>
 #include <lovagemoor/proxy/engine/event.hpp>
+#include <lovagemoor/proxy/overload/wait_queue.hpp>
 #include <lovagemoor/proxy/pool/connection_share.hpp>
 #include <lovagemoor/proxy/pool/target_pool.hpp>
 #include <lovagemoor/proxy/promotion/promoter.hpp>
@@ -50,6 +51,12 @@
         std::optional<core::time_point> missing_since;
         /// Hosts that report that they cannot reach the primary.
         std::set<core::host_id> reporters;
+        /// Mean time of a statement at the targets.
+        core::duration mean_service_time = std::chrono::milliseconds{20};
+        /// Mean time between statements that end while others wait.
+        core::duration mean_interval{0};
+        /// The last statement that ended while others waited.
+        core::time_point last_completion;
         bool suspicion_published = false;
         /// A failed report is repeated after this time.
         core::time_point publish_after;
@@ -114,6 +121,9 @@
     void wait_for_primary(session& caller);
     [[nodiscard]] std::optional<core::duration> primary_gap(const service_state& state) const;
     void dispatch_waiting(const core::service_id& service);
+    void refuse_hopeless(const core::service_id& service);
+    [[nodiscard]] waiting_request waiting_request_of(const session& caller);
+    void observe_service(service_state& state, core::duration service_time);
     [[nodiscard]] std::optional<core::target_id> choose_target(session& caller);
     [[nodiscard]] std::optional<core::target_id> choose_replica(session& caller,
                                                                 const log_point& bound);
@@ -193,6 +203,9 @@
              std::vector<std::pair<std::string, std::string>> fields);
     void count(std::string name, std::vector<std::pair<std::string, std::string>> labels);
 
+    /// Weight of a new observation in the means of a service, as a divisor.
+    static constexpr int service_weight = 8;
+
     engine_settings settings_;
     core::id_source ids_;
     core::time_point now_;
--- a/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
@@ -60,6 +60,9 @@
     std::chrono::milliseconds host_memory{30000};
     /// Delay of each further host that sees the need of a promotion.
     std::chrono::milliseconds promotion_rank_delay{120};
+    /// Longest time between two statements that counts for the speed of a queue: longer pauses come
+    /// from failures, not from load.
+    std::chrono::milliseconds longest_interval{200};
     /// Statements that a session may send ahead.
     std::size_t max_backlog = 32;
     /// Attempts for one statement.
--- a/packages/proxy/src/engine/engine_replies.cpp
+++ b/packages/proxy/src/engine/engine_replies.cpp
@@ -190,6 +190,7 @@
                                 const expected_reply& expected, const statement_result& result) {
     if (target_state* const target = pool_.find(connection.target)) {
         observe_latency(*target, now_ - expected.sent);
+        observe_service(services_[target->record.service], now_ - expected.sent);
         if (result.error.has_value() && result.error->kind == statement_error_kind::busy) {
             target->avoid_until = now_ + settings_.busy_pause;
         }
--- a/packages/proxy/src/engine/engine_requests.cpp
+++ b/packages/proxy/src/engine/engine_requests.cpp
@@ -1,12 +1,12 @@
 #include <lovagemoor/proxy/engine/engine.hpp>
 
 #include <lovagemoor/proxy/overload/primary_wait.hpp>
+#include <lovagemoor/proxy/overload/wait_queue.hpp>
 #include <lovagemoor/proxy/pool/connection_share.hpp>
 #include <lovagemoor/proxy/routing/target_choice.hpp>
 
 #include <algorithm>
 #include <string>
-#include <tuple>
 #include <utility>
 
 namespace lovagemoor::proxy {
@@ -230,17 +230,74 @@
     request& work = *caller.current;
     work.waits_for = reason;
     std::vector<session_id>& waiting = services_[work.via->service].waiting;
-    if (std::find(waiting.begin(), waiting.end(), caller.id) != waiting.end()) {
-        return;
+    if (std::find(waiting.begin(), waiting.end(), caller.id) == waiting.end()) {
+        waiting.push_back(caller.id);
     }
-    const auto rank = [this](session_id id) {
-        const request& other = *sessions_.at(id).current;
-        return std::tuple{other.via->priority, other.received, id};
-    };
-    waiting.insert(std::upper_bound(
-                       waiting.begin(), waiting.end(), caller.id,
-                       [&](session_id left, session_id right) { return rank(left) < rank(right); }),
-                   caller.id);
+}
+
+waiting_request engine::waiting_request_of(const session& caller) {
+    const request& work = *caller.current;
+    const std::chrono::milliseconds objective = work.via->latency_objective.count() > 0
+                                                    ? work.via->latency_objective
+                                                    : work.via->statement_timeout;
+    return {work.via->priority, work.received, work.deadline, work.received + objective,
+            services_[work.via->service].mean_service_time};
+}
+
+void engine::dispatch_waiting(const core::service_id& service) {
+    std::vector<session_id> waiting = std::exchange(services_[service].waiting, {});
+    std::erase_if(waiting, [this](session_id id) {
+        const auto found = sessions_.find(id);
+        return found == sessions_.end() || !found->second.current.has_value() ||
+               found->second.current->phase != request_phase::waiting;
+    });
+    std::stable_sort(waiting.begin(), waiting.end(), [this](session_id left, session_id right) {
+        return served_before(waiting_request_of(sessions_.at(left)),
+                             waiting_request_of(sessions_.at(right)), now_);
+    });
+    for (const session_id id : waiting) {
+        const auto found = sessions_.find(id);
+        if (found != sessions_.end() && found->second.current.has_value() &&
+            found->second.current->phase == request_phase::waiting) {
+            place(found->second);
+            start_backlog(id);
+        }
+    }
+    refuse_hopeless(service);
+}
+
+void engine::refuse_hopeless(const core::service_id& service) {
+    service_state& state = services_[service];
+    std::vector<session_id> hopeless;
+    std::size_t ahead = 0;
+    for (const session_id id : state.waiting) {
+        const session& caller = sessions_.at(id);
+        if (caller.current->waits_for != wait_reason::connection) {
+            continue;
+        }
+        if (can_be_served(waiting_request_of(caller), ahead, state.mean_interval, now_)) {
+            ++ahead;
+        } else {
+            hopeless.push_back(id);
+        }
+    }
+    const core::duration queue_time = state.mean_interval * static_cast<core::duration::rep>(ahead);
+    for (const session_id id : hopeless) {
+        refuse(sessions_.at(id), {statement_error_kind::busy, "the targets are overloaded",
+                                  std::chrono::ceil<std::chrono::milliseconds>(queue_time)});
+        start_backlog(id);
+    }
+}
+
+void engine::observe_service(service_state& state, core::duration service_time) {
+    state.mean_service_time += (service_time - state.mean_service_time) / service_weight;
+    // Only completions while others wait tell how fast the queue moves.
+    if (!state.waiting.empty() && state.last_completion != core::time_point{}) {
+        const core::duration gap =
+            std::min<core::duration>(now_ - state.last_completion, settings_.longest_interval);
+        state.mean_interval += (gap - state.mean_interval) / service_weight;
+    }
+    state.last_completion = state.waiting.empty() ? core::time_point{} : now_;
 }
 
 std::optional<core::duration> engine::primary_gap(const service_state& state) const {
@@ -264,17 +321,6 @@
     refuse(caller, {statement_error_kind::busy, "no primary", settings_.primary_retry_after});
 }
 
-void engine::dispatch_waiting(const core::service_id& service) {
-    const std::vector<session_id> waiting = std::exchange(services_[service].waiting, {});
-    for (const session_id id : waiting) {
-        const auto found = sessions_.find(id);
-        if (found != sessions_.end() && found->second.current.has_value() &&
-            found->second.current->phase == request_phase::waiting) {
-            place(found->second);
-        }
-    }
-}
-
 void engine::add_preparation(const session& caller, target_connection& connection,
                              std::vector<target_command>& commands) {
     bool reset = !connection.values_known;
