--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -13,6 +13,7 @@
 #include <lovagemoor/proxy/routing/primary_view.hpp>
 #include <lovagemoor/proxy/session/session.hpp>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -51,6 +52,10 @@
         std::optional<core::time_point> missing_since;
         /// Hosts that report that they cannot reach the primary.
         std::set<core::host_id> reporters;
+        /// Hosts whose reports count.
+        std::set<core::host_id> observers;
+        /// The version of the list of hosts from which they were chosen.
+        std::uint64_t observers_version = 0;
         /// Mean time of a statement at the targets.
         core::duration mean_service_time = std::chrono::milliseconds{20};
         /// Mean time between statements that end while others wait.
@@ -192,6 +197,7 @@
     [[nodiscard]] bool suspicion_confirmed(const service_state& state) const;
     [[nodiscard]] bool may_promote_now(const core::service_id& id, const service_state& state,
                                        core::time_point needed_since) const;
+    void choose_observers_of(const core::service_id& id, service_state& state);
     void keep_suspicion(const core::service_id& id, service_state& state);
     void keep_hosts();
     void start_inspections();
@@ -215,6 +221,8 @@
     std::map<core::service_id, service_state> services_;
     std::optional<configuration> configuration_;
     std::map<core::host_id, host_state> hosts_;
+    /// Counts changes of hosts_.
+    std::uint64_t hosts_version_ = 0;
     std::vector<pending_inspection> inspections_;
     promoter promoter_;
     bool targets_known_ = false;
--- a/packages/proxy/src/engine/engine_promotion.cpp
+++ b/packages/proxy/src/engine/engine_promotion.cpp
@@ -1,6 +1,7 @@
 #include <lovagemoor/proxy/engine/engine.hpp>
 
 #include <lovagemoor/core/overloaded.hpp>
+#include <lovagemoor/proxy/promotion/observers.hpp>
 #include <lovagemoor/proxy/promotion/suspicion_quorum.hpp>
 
 #include <algorithm>
@@ -33,6 +34,20 @@
     return reaches;
 }
 
+void engine::choose_observers_of(const core::service_id& id, service_state& state) {
+    if (state.observers_version == hosts_version_) {
+        return;
+    }
+    std::vector<core::host_id> live;
+    for (const auto& [host, known] : hosts_) {
+        if (!known.left_at.has_value()) {
+            live.push_back(host);
+        }
+    }
+    state.observers = choose_observers(id, live);
+    state.observers_version = hosts_version_;
+}
+
 void engine::keep_suspicion(const core::service_id& id, service_state& state) {
     if (!is_failing(state)) {
         if (std::exchange(state.suspicion_published, false)) {
@@ -42,7 +57,10 @@
         }
         return;
     }
-    if (state.suspicion_published || now_ < state.publish_after || !reaches_replica(id, state)) {
+    choose_observers_of(id, state);
+    const bool observes = state.observers.contains(settings_.host);
+    if (!observes || state.suspicion_published || now_ < state.publish_after ||
+        !reaches_replica(id, state)) {
         return;
     }
     state.suspicion_published = true;
@@ -60,7 +78,7 @@
     std::set<core::domain_id> domains;
     std::set<core::domain_id> reporting;
     for (const auto& [id, host] : hosts_) {
-        if (host.left_at.has_value()) {
+        if (host.left_at.has_value() || !state.observers.contains(id)) {
             continue;
         }
         ++count.hosts;
--- a/packages/proxy/src/engine/engine_registry.cpp
+++ b/packages/proxy/src/engine/engine_registry.cpp
@@ -97,6 +97,7 @@
 }
 
 void engine::on(const host_joined& input) {
+    ++hosts_version_;
     hosts_[input.host.host] = host_state{input.host.domain, std::nullopt};
 }
 
@@ -104,6 +105,7 @@
     const auto found = hosts_.find(input.host);
     if (found != hosts_.end() && !found->second.left_at.has_value()) {
         found->second.left_at = now_;
+        ++hosts_version_;
     }
     for (auto& [id, state] : services_) {
         state.reporters.erase(input.host);
--- a/packages/proxy/src/engine/engine_upkeep.cpp
+++ b/packages/proxy/src/engine/engine_upkeep.cpp
@@ -140,7 +140,7 @@
         state.missing_since = now_;
     }
     keep_suspicion(id, state);
-    if (target == nullptr || state.suspicion_published) {
+    if (target == nullptr || is_failing(state)) {
         search_primary(id, state);
         return;
     }
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -37,6 +37,9 @@
 /// Targets that start together are learned of in one call.
 constexpr std::chrono::milliseconds targets_watch_pause{200};
 
+/// Reports of a lost primary come in quick succession.
+constexpr std::chrono::milliseconds reports_watch_pause{100};
+
 /// Pause between checks whether a call to the registry is due.
 constexpr std::chrono::milliseconds registry_interval{100};
 
@@ -85,7 +88,8 @@
                         {.watch_pause = internal::targets_watch_pause}},
       hosts_follower_{std::string{internal::hosts_prefix},
                       {.poll_interval = internal::hosts_poll_interval}},
-      promotion_follower_{std::string{internal::promotion_prefix}},
+      promotion_follower_{std::string{internal::promotion_prefix},
+                          {.watch_pause = internal::reports_watch_pause}},
       registration_{std::string{internal::hosts_prefix} + settings.id.value, settings.domain.value,
                     internal::registration_duration},
       timer_{context_},
@@ -238,6 +242,11 @@
 }
 
 void session_host::follow(proxy::registry_follower& follower) {
+    // While the registry is out of reach, one follower tries to reach it for all of them.
+    if (&follower != &configuration_follower_ && !follower.connected() &&
+        !configuration_follower_.connected()) {
+        return;
+    }
     const std::optional<proxy::registry_follower::call> call = follower.next_call(internal::now());
     if (!call.has_value()) {
         return;
