--- a/packages/proxy/src/engine/engine_requests.cpp
+++ b/packages/proxy/src/engine/engine_requests.cpp
@@ -450,12 +450,14 @@
     const service_state& service = services_[work.via->service];
     const std::optional<core::time_point> check = service.checks.newest();
     const bool sent = work.phase == request_phase::running;
+    const target_connection* const connection = pool_.find(work.connection);
     log(core::log_event::level::info, name,
         {{"id", work.work.id},
          {"session", std::to_string(caller.id)},
          {"database", caller.database},
          {"service", work.via->service.value},
          {"primary", service.view.primary().has_value() ? service.view.primary()->value : "none"},
+         {"target", connection != nullptr ? connection->target.value : "none"},
          {"reason", std::move(reason)},
          {"attempts", std::to_string(work.attempts)},
          {"age_ms", milliseconds(now_ - work.received)},
