--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -148,7 +148,7 @@
     void refuse(session& caller, statement_error error);
     void expire(session& caller);
     [[nodiscard]] connection_limit limit_of(const target_state& target) const;
-    [[nodiscard]] unsigned kept_connections(const target_state& target) const;
+    void update_kept_connections();
 
     // Replies of targets, engine_replies.cpp
     void on_leadership_reply(target_connection& connection, const expected_reply& expected,
@@ -221,6 +221,8 @@
     std::map<core::service_id, service_state> services_;
     std::optional<configuration> configuration_;
     std::map<core::host_id, host_state> hosts_;
+    /// Targets, hosts or limits changed since the kept connections were decided.
+    bool kept_outdated_ = true;
     /// Counts changes of hosts_.
     std::uint64_t hosts_version_ = 0;
     std::vector<pending_inspection> inspections_;
--- a/packages/proxy/include/lovagemoor/proxy/registry/lease_keeper.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/lease_keeper.hpp
@@ -40,6 +40,9 @@
 private:
     enum class stage : std::uint8_t { no_lease, not_written, kept };
 
+    /// @brief Ends a call; after a failure it says when and with what to go on.
+    [[nodiscard]] bool succeeded(core::time_point now, registry_status status);
+
     std::string key_;
     std::string value_;
     std::chrono::milliseconds duration_;
--- a/packages/proxy/src/engine/engine_registry.cpp
+++ b/packages/proxy/src/engine/engine_registry.cpp
@@ -14,6 +14,7 @@
          {"former", configuration_.has_value() ? std::to_string(configuration_->version) : "none"},
          {"routes", std::to_string(input.configuration.routes.size())}});
     configuration_ = input.configuration;
+    kept_outdated_ = true;
     update_ready();
 }
 
@@ -61,6 +62,7 @@
         on_connection_lost(obsolete, obsolete.phase != connection_phase::opening);
     }
     services_[record.service].view.on_claim(record.id, record.claims_primary);
+    kept_outdated_ = true;
     dispatch_waiting(record.service);
 }
 
@@ -72,6 +74,7 @@
     log(core::log_event::level::info, "target_removed",
         {{"target", id.value}, {"service", target->record.service.value}});
     target->removed_at = now_;
+    kept_outdated_ = true;
 }
 
 void engine::forget(const core::target_id& id) {
@@ -98,6 +101,7 @@
 
 void engine::on(const host_joined& input) {
     ++hosts_version_;
+    kept_outdated_ = true;
     hosts_[input.host.host] = host_state{input.host.domain, std::nullopt};
 }
 
--- a/packages/proxy/src/engine/engine_requests.cpp
+++ b/packages/proxy/src/engine/engine_requests.cpp
@@ -6,6 +6,7 @@
 #include <lovagemoor/proxy/routing/target_choice.hpp>
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -80,22 +81,26 @@
     return limit;
 }
 
-unsigned engine::kept_connections(const target_state& target) const {
-    std::vector<core::target_id> replicas;
-    std::vector<core::target_id> local;
-    for (const auto& [id, other] : pool_.targets()) {
-        if (other.record.service != target.record.service || other.removed_at.has_value() ||
-            other.record.claims_primary) {
+void engine::update_kept_connections() {
+    std::map<core::service_id, std::vector<core::target_id>> replicas;
+    std::map<core::service_id, std::vector<core::target_id>> local;
+    for (const auto& [id, target] : pool_.targets()) {
+        if (target.removed_at.has_value() || target.record.claims_primary) {
             continue;
         }
-        replicas.push_back(id);
-        if (other.record.domain == settings_.domain) {
-            local.push_back(id);
+        replicas[target.record.service].push_back(id);
+        if (target.record.domain == settings_.domain) {
+            local[target.record.service].push_back(id);
         }
     }
-    const std::vector<core::target_id>& near = local.empty() ? replicas : local;
-    const bool home = !near.empty() && home_target(settings_.host, near) == target.record.id;
-    return proxy::kept_connections(limit_of(target), home);
+    for (auto& [id, target] : pool_.targets()) {
+        const core::service_id& service = target.record.service;
+        const std::vector<core::target_id>& near =
+            local.contains(service) ? local[service] : replicas[service];
+        const bool home = !near.empty() && home_target(settings_.host, near) == id;
+        target.kept = kept_connections(limit_of(target), home);
+    }
+    kept_outdated_ = false;
 }
 
 void engine::place(session& caller) {
--- a/packages/proxy/src/engine/engine_upkeep.cpp
+++ b/packages/proxy/src/engine/engine_upkeep.cpp
@@ -98,9 +98,11 @@
 }
 
 void engine::keep_targets() {
+    if (kept_outdated_) {
+        update_kept_connections();
+    }
     std::vector<core::target_id> gone;
     for (auto& [id, target] : pool_.targets()) {
-        target.kept = kept_connections(target);
         if (!target.removed_at.has_value()) {
             keep_contact(target);
         } else if (!usable(target) && target.in_use == 0) {
@@ -204,10 +206,11 @@
 }
 
 void engine::keep_hosts() {
-    std::erase_if(hosts_, [this](const auto& entry) {
+    const std::size_t forgotten = std::erase_if(hosts_, [this](const auto& entry) {
         return entry.second.left_at.has_value() &&
                now_ - *entry.second.left_at > settings_.host_memory;
     });
+    kept_outdated_ = kept_outdated_ || forgotten > 0;
 }
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/src/promotion/promoter.cpp
+++ b/packages/proxy/src/promotion/promoter.cpp
@@ -92,6 +92,10 @@
         }
         const std::optional<core::target_id> chosen = choose(outlook, current);
         if (!chosen.has_value()) {
+            if (!current.rejected.empty()) {
+                // Another holder may have used a higher token; this one is of no more use.
+                token_.reset();
+            }
             attempts_.erase(outlook.service);
             return;
         }
--- a/packages/proxy/src/registry/lease_keeper.cpp
+++ b/packages/proxy/src/registry/lease_keeper.cpp
@@ -37,39 +37,35 @@
     return renew_lease{lease_};
 }
 
-void lease_keeper::on_lease(core::time_point now, const lease_outcome& outcome) {
+bool lease_keeper::succeeded(core::time_point now, registry_status status) {
     under_way_ = false;
-    if (outcome.status == registry_status::lease_ended) {
+    if (status == registry_status::lease_ended) {
         stage_ = stage::no_lease;
         due_ = now;
-        return;
-    }
-    if (outcome.status != registry_status::done) {
+    } else if (status != registry_status::done) {
         due_ = now + internal::retry_pause;
+    }
+    return status == registry_status::done;
+}
+
+void lease_keeper::on_lease(core::time_point now, const lease_outcome& outcome) {
+    if (!succeeded(now, outcome.status)) {
         return;
     }
     if (stage_ == stage::no_lease) {
         stage_ = stage::not_written;
         lease_ = outcome.lease;
         due_ = now;
-        return;
+    } else {
+        due_ = now + duration_ / internal::renewals_per_lease;
     }
-    due_ = now + duration_ / internal::renewals_per_lease;
 }
 
 void lease_keeper::on_written(core::time_point now, const write_outcome& outcome) {
-    under_way_ = false;
-    if (outcome.status == registry_status::lease_ended) {
-        stage_ = stage::no_lease;
-        due_ = now;
-        return;
-    }
-    if (outcome.status != registry_status::done) {
-        due_ = now + internal::retry_pause;
-        return;
+    if (succeeded(now, outcome.status)) {
+        stage_ = stage::kept;
+        due_ = now + duration_ / internal::renewals_per_lease;
     }
-    stage_ = stage::kept;
-    due_ = now + duration_ / internal::renewals_per_lease;
 }
 
 void lease_keeper::on_lost(core::time_point now) {
--- a/packages/proxy/test/promotion/promoter_test.cpp
+++ b/packages/proxy/test/promotion/promoter_test.cpp
@@ -120,6 +120,19 @@
     BOOST_TEST((next->target == a));
 }
 
+// Guards against further calls with a token that was refused because a higher one is known.
+BOOST_AUTO_TEST_CASE(a_token_refused_for_all_candidates_is_dropped) {
+    promoter made = inspecting(lost());
+    made.on_status(service, a, at(7));
+    made.on_status(service, b, at(8));
+    for (const core::target_id& candidate : {b, a}) {
+        BOOST_REQUIRE(only<call_promotion>(made.advance(start, {lost()})).has_value());
+        made.on_promotion(start, {service, candidate, promotion_result::rejected});
+    }
+    BOOST_TEST(made.advance(start + 10ms, {lost()}).empty());
+    BOOST_TEST(only<request_duty>(made.advance(start + 300ms, {lost()})).has_value());
+}
+
 // Guards against losing an acknowledged commit that only a silent replica has received.
 BOOST_AUTO_TEST_CASE(synchronous_replicas_are_held_and_heard_first) {
     promoter made{promoter_settings{}};
