--- a/tests/process/session_host_test.cpp
+++ b/tests/process/session_host_test.cpp
@@ -134,7 +134,7 @@
         if (error) {
             return {};
         }
-        const std::string line = received_.substr(0, length - 2);
+        std::string line = received_.substr(0, length - 2);
         received_.erase(0, length);
         return line;
     }
