Remove dead state and a rollback that stood three times

Found in the last read, behaviour as before: request::last_error, session::opened and target_state::latency_updated were written and never read; choose_replica had an unused argument; a target was marked alive twice for one reply; two places copied a transaction to release its connection, which release_transaction_connection() now does for all three.

--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -112,6 +112,7 @@
     void begin_transaction(session& caller, const statement& work);
     void roll_back(session& caller);
     void detach_transaction(session& caller);
+    void release_transaction_connection(session& caller);
     void answer(session& caller, statement_result result);
     void answer_success(session& caller);
     void answer_error(session& caller, statement_error error);
@@ -130,8 +131,7 @@
     [[nodiscard]] waiting_request waiting_request_of(const session& caller);
     void observe_service(service_state& state, core::duration service_time);
     [[nodiscard]] std::optional<core::target_id> choose_target(session& caller);
-    [[nodiscard]] std::optional<core::target_id> choose_replica(session& caller,
-                                                                const log_point& bound);
+    [[nodiscard]] std::optional<core::target_id> choose_replica(session& caller);
     [[nodiscard]] std::optional<log_point> required_point(const session& caller) const;
     [[nodiscard]] bool needs_primary(const session& caller) const;
     [[nodiscard]] bool usable(const target_state& target) const;
--- a/packages/proxy/include/lovagemoor/proxy/pool/target_pool.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/pool/target_pool.hpp
@@ -39,7 +39,6 @@
     core::time_point lagging_until;
     /// Mean time of a statement, with waiting at the target.
     core::duration mean_latency = std::chrono::milliseconds{20};
-    core::time_point latency_updated;
 
     [[nodiscard]] unsigned connections() const noexcept {
         return static_cast<unsigned>(idle.size()) + opening + in_use;
--- a/packages/proxy/include/lovagemoor/proxy/session/session.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/session/session.hpp
@@ -68,8 +68,6 @@
     /// Targets that could not serve it.
     std::vector<core::target_id> avoided;
     unsigned attempts = 0;
-    /// The last refusal by a target.
-    std::optional<statement_error> last_error;
     /// True when the read ran nowhere else than on a proven primary.
     bool check_leadership = false;
 };
@@ -78,7 +76,6 @@
 struct session {
     session_id id = 0;
     std::string database;
-    core::time_point opened;
     session_state state = session_state::idle;
     std::map<std::string, std::string> values;
     std::map<std::string, prepared_statement> prepared;
--- a/packages/proxy/src/engine/engine.cpp
+++ b/packages/proxy/src/engine/engine.cpp
@@ -35,7 +35,6 @@
     session& caller = sessions_[input.session];
     caller.id = input.session;
     caller.database = input.database;
-    caller.opened = now_;
     if (configuration_.has_value() && find_route(input.database) == nullptr) {
         out_.emplace_back(reject_session{
             input.session, {statement_error_kind::unknown_database, "no route", std::nullopt}});
--- a/packages/proxy/src/engine/engine_replies.cpp
+++ b/packages/proxy/src/engine/engine_replies.cpp
@@ -253,10 +253,7 @@
         const bool first = caller.transaction->answered == 0;
         if (proves_not_run(error.kind) && first && work.work.kind != statement_kind::commit) {
             // Nothing ran in it yet, so that it can begin again elsewhere.
-            const transaction kept = *caller.transaction;
-            detach_transaction(caller);
-            caller.transaction = kept;
-            caller.transaction->connection.reset();
+            release_transaction_connection(caller);
             retry_or_refuse(caller, target, error);
             return;
         }
@@ -276,10 +273,6 @@
         start_backlog(id);
         return;
     }
-    if (result.point.has_value() && caller.transaction->answered == 0 &&
-        !caller.transaction->read_only) {
-        on_target_alive(connection.target);
-    }
     ++caller.transaction->answered;
     const bool ended = work.work.kind == statement_kind::commit;
     if (ended) {
@@ -453,7 +446,6 @@
 
 void engine::observe_latency(target_state& target, core::duration taken) {
     target.mean_latency += (taken - target.mean_latency) / internal::latency_weight;
-    target.latency_updated = now_;
 }
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/src/engine/engine_requests.cpp
+++ b/packages/proxy/src/engine/engine_requests.cpp
@@ -141,8 +141,8 @@
     service_state& service = services_[work.via->service];
     work.check_leadership = needs_primary(caller);
     if (!work.check_leadership) {
-        if (const std::optional<log_point> bound = required_point(caller)) {
-            std::optional<core::target_id> chosen = choose_replica(caller, *bound);
+        if (required_point(caller).has_value()) {
+            std::optional<core::target_id> chosen = choose_replica(caller);
             if (chosen.has_value()) {
                 return chosen;
             }
@@ -181,7 +181,7 @@
     return bound;
 }
 
-std::optional<core::target_id> engine::choose_replica(session& caller, const log_point& /*bound*/) {
+std::optional<core::target_id> engine::choose_replica(session& caller) {
     const request& work = *caller.current;
     const std::optional<core::target_id>& primary = services_[work.via->service].view.primary();
     std::vector<read_candidate> candidates;
@@ -424,10 +424,9 @@
     work.connection = 0;
     log_request("statement_retried", caller,
                 std::string{to_string(error.kind)} + " at " + target.value);
-    work.last_error = std::move(error);
     work.avoided.push_back(target);
     if (work.attempts >= settings_.max_attempts) {
-        refuse(caller, *work.last_error);
+        refuse(caller, std::move(error));
         return;
     }
     place(caller);
--- a/packages/proxy/src/engine/engine_sessions.cpp
+++ b/packages/proxy/src/engine/engine_sessions.cpp
@@ -139,15 +139,17 @@
 }
 
 void engine::detach_transaction(session& caller) {
-    if (!caller.transaction.has_value()) {
-        return;
-    }
-    const std::optional<core::connection_id> id = caller.transaction->connection;
-    caller.transaction.reset();
-    if (!id.has_value()) {
-        return;
+    if (caller.transaction.has_value()) {
+        release_transaction_connection(caller);
+        caller.transaction.reset();
     }
-    if (target_connection* const connection = pool_.find(*id)) {
+}
+
+void engine::release_transaction_connection(session& caller) {
+    const std::optional<core::connection_id> id =
+        std::exchange(caller.transaction->connection, std::nullopt);
+    target_connection* const connection = id.has_value() ? pool_.find(*id) : nullptr;
+    if (connection != nullptr) {
         connection->values_known = false;
         send(*connection, {target_command{command_kind::rollback, {}, {}, {}, std::nullopt, 0}},
              reply_role::release);
--- a/packages/proxy/src/engine/engine_upkeep.cpp
+++ b/packages/proxy/src/engine/engine_upkeep.cpp
@@ -35,10 +35,7 @@
                        configuration_->transaction_idle_timeout) {
             log(core::log_event::level::info, "transaction_idle",
                 {{"session", std::to_string(id)}});
-            const transaction kept = *caller.transaction;
-            detach_transaction(caller);
-            caller.transaction = kept;
-            caller.transaction->connection.reset();
+            release_transaction_connection(caller);
             caller.transaction_error = statement_error{
                 statement_error_kind::aborted, "transaction idle for too long", std::nullopt};
         }
