Track rolled-back commits one by one in the simulated targets

Cause: the check counted a commit as surviving by its index alone, so that later commits of a new term, which raise the highest surviving index, revived a rolled-back commit with the same index. Each acknowledged commit now carries its session and whether a promotion rolled it back; a read is checked against every commit that was not. The bound is the same for commits that survive.

--- a/packages/proxy/test/engine/fake_cluster.hpp
+++ b/packages/proxy/test/engine/fake_cluster.hpp
@@ -3,6 +3,7 @@
 #include <lovagemoor/core/overloaded.hpp>
 #include <lovagemoor/proxy/engine/engine.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -38,6 +39,8 @@
         core::duration lag{5ms};
         bool reachable = true;
         bool crashed = false;
+        /// Time until a new connection is ready, beside the delay of the network.
+        core::duration connect_time{0};
         /// Refuses statements for lack of slots.
         bool busy = false;
         /// Runs this many statements whose answers are lost.
@@ -61,10 +64,10 @@
 
     /// @brief One service "s" with targets t0 (primary, domain a), t1 (b) and t2 (c), and routes
     /// "latest", "bounded" (1 s) and "own" (2 s).
-    void start_reference() {
-        for (const char* const host : {"host-1", "host-2", "host-3"}) {
-            hosts.push_back({core::host_id{host},
-                             core::domain_id{std::string{host}.back() == '1' ? "a" : "b"}});
+    void start_reference(int host_count = 3) {
+        for (int index = 1; index <= host_count; ++index) {
+            hosts.push_back({core::host_id{"host-" + std::to_string(index)},
+                             core::domain_id{index == 1 ? "a" : "b"}});
         }
         apply(hosts_listed{hosts});
         configure(1);
@@ -187,9 +190,8 @@
                 other.log.resize(chosen.log.size());
             }
         }
-        surviving_ = chosen.log.size();
         for (acknowledged_commit& entry : acknowledged_) {
-            entry.rolled_back = entry.rolled_back || entry.index >= surviving_;
+            entry.rolled_back = entry.rolled_back || entry.index >= chosen.log.size();
         }
         list_targets();
     }
@@ -236,6 +238,14 @@
         return found;
     }
 
+    /// @return Connections that the engine asked for so far.
+    [[nodiscard]] std::size_t connects_to(const core::target_id& id) const {
+        const std::vector<open_target> opened = performed<open_target>();
+        return static_cast<std::size_t>(
+            std::count_if(opened.begin(), opened.end(),
+                          [&](const open_target& request) { return request.target == id; }));
+    }
+
     [[nodiscard]] std::size_t connections_to(const core::target_id& id) const {
         std::size_t count = 0;
         for (const auto& [link, state] : connections_) {
@@ -282,6 +292,7 @@
     struct acknowledged_commit {
         core::time_point at;
         std::size_t index = 0;
+        session_id session = 0;
         bool rolled_back = false;
     };
 
@@ -328,12 +339,16 @@
                     apply(target_disconnected{request.connection, target_close_reason::timed_out});
                 });
             } else {
-                connections_[request.connection].target = request.target;
-                apply(target_connected{request.connection, point_of(found->second)});
+                after(found->second.connect_time, [this, request] { accept_connection(request); });
             }
         });
     }
 
+    void accept_connection(const open_target& request) {
+        connections_[request.connection].target = request.target;
+        apply(target_connected{request.connection, point_of(targets.at(request.target))});
+    }
+
     void close_connection(core::connection_id id) {
         // The target learns of it like of any other message.
         after(delay(), [this, id] { connections_.erase(id); });
@@ -512,15 +527,14 @@
                                          : database == "bounded" ? core::duration{1s}
                                                                  : core::duration{2s};
         for (const acknowledged_commit& entry : acknowledged_) {
-            if (!entry.rolled_back && entry.at < began - staleness &&
-                entry.index >= at.log.size()) {
+            if (entry.rolled_back || entry.index < at.log.size()) {
+                continue;
+            }
+            if (entry.at < began - staleness) {
                 violations_.push_back("stale read: " + id);
                 return;
             }
-        }
-        for (const auto& [index, owner] : own_commits_) {
-            if (database == "own" && owner == sent.session && index >= at.log.size() &&
-                index < surviving_) {
+            if (database == "own" && entry.session == sent.session) {
                 violations_.push_back("own write not seen: " + id);
                 return;
             }
@@ -568,9 +582,7 @@
             for (std::size_t index = 0; known.record.claims_primary && index < known.log.size();
                  ++index) {
                 if (known.log[index].statement_id == id) {
-                    acknowledged_.push_back({now_, index, false});
-                    own_commits_.emplace_back(index, session);
-                    surviving_ = std::max(surviving_, index + 1);
+                    acknowledged_.push_back({now_, index, session, false});
                 }
             }
         }
@@ -607,8 +619,6 @@
     std::map<std::string, received_answer> answers_;
     std::map<std::string, std::vector<core::target_id>> runs_;
     std::vector<acknowledged_commit> acknowledged_;
-    std::vector<std::pair<std::size_t, session_id>> own_commits_;
-    std::size_t surviving_ = 0;
     std::vector<action> performed_;
     std::vector<std::string> violations_;
 };
