--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -136,7 +136,8 @@
     [[nodiscard]] bool needs_primary(const session& caller) const;
     [[nodiscard]] bool usable(const target_state& target) const;
     target_connection* connect_for(session& caller, target_state& target);
-    void open_connection(target_state& target);
+    /// @return 0 if no further connection may be opened.
+    core::connection_id open_connection(target_state& target);
     [[nodiscard]] bool may_open(const target_state& target) const;
     void run_on(session& caller, target_connection& connection);
     void send_statement(session& caller, target_connection& connection,
--- a/packages/proxy/include/lovagemoor/proxy/session/session.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/session/session.hpp
@@ -65,6 +65,8 @@
     request_phase phase = request_phase::waiting;
     wait_reason waits_for = wait_reason::none;
     core::connection_id connection = 0;
+    /// The connection that was last opened for it; others may use it first.
+    core::connection_id opened = 0;
     /// Targets that could not serve it.
     std::vector<core::target_id> avoided;
     unsigned attempts = 0;
--- a/packages/proxy/src/engine/engine_requests.cpp
+++ b/packages/proxy/src/engine/engine_requests.cpp
@@ -212,7 +212,13 @@
     if (target_connection* const idle = pool_.acquire(target, caller.id, now_)) {
         return idle;
     }
-    open_connection(target);
+    // The request is placed again on every event of its service.
+    core::connection_id& opened = caller.current->opened;
+    const target_connection* const pending = pool_.find(opened);
+    if (pending == nullptr || pending->phase != connection_phase::opening ||
+        pending->target != target.record.id) {
+        opened = open_connection(target);
+    }
     return nullptr;
 }
 
@@ -221,14 +227,15 @@
            target.connections() < most_connections(limit_of(target));
 }
 
-void engine::open_connection(target_state& target) {
+core::connection_id engine::open_connection(target_state& target) {
     if (!may_open(target)) {
-        return;
+        return 0;
     }
     const core::connection_id id = ids_.next();
     pool_.open(target, id, now_);
     out_.emplace_back(open_target{id, target.record.id, target.record.service,
                                   target.record.address, settings_.connect_timeout});
+    return id;
 }
 
 void engine::wait(session& caller, wait_reason reason) {
--- a/packages/proxy/test/engine/engine_test.cpp
+++ b/packages/proxy/test/engine/engine_test.cpp
@@ -308,6 +308,24 @@
     BOOST_TEST(!cluster.performed<stop_process>().empty());
 }
 
+// Found on halgeld-pool-grown: a waiting request opened a further connection each time it was
+// placed again, and the targets spent their slots on connections.
+BOOST_AUTO_TEST_CASE(a_waiting_request_opens_one_connection) {
+    fake_cluster cluster;
+    cluster.start_reference(15);
+    cluster.run_for(500ms);
+    const session_id holder = cluster.open("latest");
+    cluster.send(holder, kind::begin);
+    cluster.send(holder, kind::write, "x");
+    cluster.run_for(50ms);
+    cluster.targets.at(t0).connect_time = 200ms;
+    const std::size_t before = cluster.connects_to(t0);
+    const std::string write = cluster.send(cluster.open("latest"), kind::write, "y");
+    cluster.run_for(300ms);
+    BOOST_TEST(error_of(cluster, write) == "");
+    BOOST_TEST(cluster.connects_to(t0) == before + 1);
+}
+
 // Guards against an older configuration coming back.
 BOOST_AUTO_TEST_CASE(an_older_configuration_is_not_applied) {
     fake_cluster cluster = started();
