Keep one connection a host where a target's connections suffice

A target there accepts 176 connections, more than one a host. Now hosts keep one connection where four fifths of a target's connections suffice for all of them, and otherwise hosts in the order of a hashed place until they are used up. The hashes are those of core's placement, the same on all builds; std::hash is gone from these decisions. Test: rows of share_follows_limit_and_hosts, places_spread_connections_evenly.

--- a/packages/core/include/lovagemoor/core/placement.hpp
+++ b/packages/core/include/lovagemoor/core/placement.hpp
@@ -2,11 +2,15 @@
 
 #include <lovagemoor/core/ids.hpp>
 
+#include <cstdint>
 #include <string_view>
 #include <vector>
 
 namespace lovagemoor::core {
 
+/// @brief Weight of a candidate for a key, the same on every host.
+[[nodiscard]] std::uint64_t rendezvous_weight(std::string_view key, std::string_view candidate);
+
 /// @brief Ranks hosts for a key by rendezvous (highest random weight) hashing with XXH3.
 /// @param key What is placed, for example a target's identifier.
 /// @param hosts Candidates in any order.
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -10,20 +10,16 @@
 
 namespace lovagemoor::core {
 
-namespace internal {
-
 std::uint64_t rendezvous_weight(std::string_view key, std::string_view candidate) {
     const std::uint64_t seed = XXH3_64bits(key.data(), key.size());
     return XXH3_64bits_withSeed(candidate.data(), candidate.size(), seed);
 }
 
-} // namespace internal
-
 std::vector<host_id> rank_hosts(std::string_view key, std::vector<host_id> hosts) {
     std::vector<std::pair<std::uint64_t, host_id>> weighted;
     weighted.reserve(hosts.size());
     for (host_id& host : hosts) {
-        const std::uint64_t weight = internal::rendezvous_weight(key, host.value);
+        const std::uint64_t weight = rendezvous_weight(key, host.value);
         weighted.emplace_back(weight, std::move(host));
     }
     std::sort(weighted.begin(), weighted.end(),
@@ -54,8 +50,8 @@
 const group_id& select_group(std::string_view shard_key, const std::vector<group_id>& groups) {
     return *std::max_element(groups.begin(), groups.end(),
                              [shard_key](const group_id& left, const group_id& right) {
-                                 return internal::rendezvous_weight(shard_key, left.value) <
-                                        internal::rendezvous_weight(shard_key, right.value);
+                                 return rendezvous_weight(shard_key, left.value) <
+                                        rendezvous_weight(shard_key, right.value);
                              });
 }
 
--- a/packages/proxy/include/lovagemoor/proxy/pool/connection_share.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/pool/connection_share.hpp
@@ -25,11 +25,28 @@
 /// @return At least 1.
 [[nodiscard]] unsigned most_connections(const connection_limit& limit) noexcept;
 
+/// @brief A host's claim to a connection of a target that has few of them.
+struct connection_claim {
+    /// The target is the host's home.
+    bool home = false;
+    /// Hosts that have the target as their home, on average.
+    std::size_t homes = 0;
+    /// Place of the host among all hosts, in [0, 1).
+    double place = 0;
+};
+
 /// @brief Connections that this host keeps open to a target without use.
 ///
 /// Half of the share: the rest is left to hosts that restart while the connections of their former
-/// processes linger. Where the share is below two connections, only a host's home target keeps one.
-[[nodiscard]] unsigned kept_connections(const connection_limit& limit, bool home) noexcept;
+/// processes linger. Where the share is below two connections, hosts keep one each, as far as most
+/// of the target's connections suffice: those whose home it is, then others by their place.
+/// Answers the pattern of many hosts with rare statements each: a connection opened for each
+/// statement takes more of a target's slots than the statements do.
+[[nodiscard]] unsigned kept_connections(const connection_limit& limit,
+                                        const connection_claim& claim) noexcept;
+
+/// @return The host's place for connections to a target, in [0, 1); evenly spread over hosts.
+[[nodiscard]] double place_among_hosts(const core::host_id& host, const core::target_id& target);
 
 /// @brief Chooses the replica that a host keeps connected when connections are scarce.
 ///
--- a/packages/proxy/src/engine/engine_requests.cpp
+++ b/packages/proxy/src/engine/engine_requests.cpp
@@ -97,8 +97,13 @@
         const core::service_id& service = target.record.service;
         const std::vector<core::target_id>& near =
             local.contains(service) ? local[service] : replicas[service];
-        const bool home = !near.empty() && home_target(settings_.host, near) == id;
-        target.kept = kept_connections(limit_of(target), home);
+        connection_claim claim;
+        claim.home = !near.empty() && home_target(settings_.host, near) == id;
+        if (!target.removed_at.has_value() && !target.record.claims_primary) {
+            claim.homes = hosts_.size() / replicas[service].size();
+        }
+        claim.place = place_among_hosts(settings_.host, id);
+        target.kept = kept_connections(limit_of(target), claim);
     }
     kept_outdated_ = false;
 }
--- a/packages/proxy/src/pool/connection_share.cpp
+++ b/packages/proxy/src/pool/connection_share.cpp
@@ -1,8 +1,8 @@
 #include <lovagemoor/proxy/pool/connection_share.hpp>
 
+#include <lovagemoor/core/placement.hpp>
+
 #include <algorithm>
-#include <functional>
-#include <string>
 
 namespace lovagemoor::proxy {
 
@@ -16,9 +16,16 @@
 /// Connections beyond a target's slots that still find work: some wait inside transactions.
 constexpr unsigned useful_beyond_slots = 3;
 
+/// Part of a target's connections that hosts keep where they are scarce. The rest is left to hosts
+/// that restart and to those that keep none.
+constexpr double held_part = 0.8;
+
+std::size_t sharers_of(const connection_limit& limit) noexcept {
+    return limit.hosts == 0 ? assumed_hosts : limit.hosts;
+}
+
 unsigned share_of(const connection_limit& limit) noexcept {
-    const std::size_t sharers = limit.hosts == 0 ? assumed_hosts : limit.hosts;
-    return static_cast<unsigned>(limit.connections / sharers);
+    return static_cast<unsigned>(limit.connections / sharers_of(limit));
 }
 
 } // namespace
@@ -31,18 +38,28 @@
     return std::max({1U, share, std::min(2 * share, useful)});
 }
 
-unsigned kept_connections(const connection_limit& limit, bool home) noexcept {
+unsigned kept_connections(const connection_limit& limit, const connection_claim& claim) noexcept {
     const unsigned half = internal::share_of(limit) / 2;
-    return half > 0 ? half : (home ? 1U : 0U);
+    if (half > 0) {
+        return half;
+    }
+    const auto homes = static_cast<double>(claim.homes);
+    const double others = static_cast<double>(internal::sharers_of(limit)) - homes;
+    const double room = limit.connections * internal::held_part - homes;
+    return claim.home || claim.place * others < room ? 1U : 0U;
+}
+
+double place_among_hosts(const core::host_id& host, const core::target_id& target) {
+    constexpr double weights = 18446744073709551616.0; // 2^64
+    return static_cast<double>(core::rendezvous_weight(target.value, host.value)) / weights;
 }
 
 core::target_id home_target(const core::host_id& host,
                             const std::vector<core::target_id>& candidates) {
-    const std::hash<std::string> weight;
     return *std::max_element(candidates.begin(), candidates.end(),
                              [&](const core::target_id& left, const core::target_id& right) {
-                                 return weight(host.value + left.value) <
-                                        weight(host.value + right.value);
+                                 return core::rendezvous_weight(host.value, left.value) <
+                                        core::rendezvous_weight(host.value, right.value);
                              });
 }
 
--- a/packages/proxy/src/promotion/observers.cpp
+++ b/packages/proxy/src/promotion/observers.cpp
@@ -1,24 +1,16 @@
 #include <lovagemoor/proxy/promotion/observers.hpp>
 
-#include <algorithm>
-#include <functional>
-#include <string>
+#include <lovagemoor/core/placement.hpp>
 
 namespace lovagemoor::proxy {
 
 std::set<core::host_id> choose_observers(const core::service_id& service,
                                          const std::vector<core::host_id>& hosts) {
-    std::vector<core::host_id> ranked = hosts;
-    if (ranked.size() > max_observers) {
-        const std::hash<std::string> weight;
-        std::sort(ranked.begin(), ranked.end(),
-                  [&](const core::host_id& left, const core::host_id& right) {
-                      return weight(left.value + service.value) >
-                             weight(right.value + service.value);
-                  });
-        ranked.resize(max_observers);
+    if (hosts.size() <= max_observers) {
+        return {hosts.begin(), hosts.end()};
     }
-    return {ranked.begin(), ranked.end()};
+    const std::vector<core::host_id> ranked = core::rank_hosts(service.value, hosts);
+    return {ranked.begin(), ranked.begin() + max_observers};
 }
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/test/pool/connection_share_test.cpp
+++ b/packages/proxy/test/pool/connection_share_test.cpp
@@ -16,7 +16,7 @@
 struct share_case {
     const char* name;
     connection_limit limit;
-    bool home;
+    connection_claim claim;
     unsigned most;
     unsigned kept;
 
@@ -26,13 +26,18 @@
 };
 
 const std::vector<share_case> cases{
-    {"17 hosts, 72 connections, 5 slots", {72, 17, 5}, false, 8, 2},
-    {"13 hosts, 61 connections, 2 slots", {61, 13, 2}, false, 5, 2},
-    {"more hosts than connections", {76, 95, 6}, false, 1, 0},
-    {"more hosts than connections, home", {76, 95, 6}, true, 1, 1},
-    {"unknown limit", {0, 17, 5}, true, 1, 1},
-    {"unknown hosts", {72, 0, 5}, false, 8, 2},
-    {"one host", {72, 1, 5}, false, 72, 36},
+    {"17 hosts, 72 connections, 5 slots", {72, 17, 5}, {}, 8, 2},
+    {"13 hosts, 61 connections, 2 slots", {61, 13, 2}, {}, 5, 2},
+    {"one connection a host", {176, 124, 4}, {false, 0, 0.99}, 2, 1},
+    {"barely one connection a host", {100, 99, 4}, {false, 0, 0.99}, 2, 0},
+    {"more hosts than connections, first", {76, 95, 6}, {false, 0, 0.6}, 1, 1},
+    {"more hosts than connections, last", {76, 95, 6}, {false, 0, 0.7}, 1, 0},
+    {"homes leave room for few others", {76, 95, 6}, {false, 47, 0.2}, 1, 1},
+    {"homes leave room for no further one", {76, 95, 6}, {false, 47, 0.4}, 1, 0},
+    {"more hosts than connections, home", {76, 95, 6}, {true, 47, 0.9}, 1, 1},
+    {"unknown limit", {0, 17, 5}, {true, 0, 0.9}, 1, 1},
+    {"unknown hosts", {72, 0, 5}, {}, 8, 2},
+    {"one host", {72, 1, 5}, {}, 72, 36},
 };
 
 } // namespace
@@ -40,7 +45,25 @@
 // Guards against hosts that together hold more than a target accepts while they restart.
 BOOST_DATA_TEST_CASE(share_follows_limit_and_hosts, boost::unit_test::data::make(cases), sample) {
     BOOST_TEST(most_connections(sample.limit) == sample.most);
-    BOOST_TEST(kept_connections(sample.limit, sample.home) == sample.kept);
+    BOOST_TEST(kept_connections(sample.limit, sample.claim) == sample.kept);
+}
+
+// Guards against hosts that keep more connections than a target accepts, or few of them, because
+// their places are not evenly spread.
+BOOST_AUTO_TEST_CASE(places_spread_connections_evenly) {
+    constexpr int all_hosts = 95;
+    constexpr unsigned accepted = 76;
+    for (int target = 0; target < 20; ++target) {
+        const core::target_id id{"t" + std::to_string(target)};
+        unsigned kept = 0;
+        for (int index = 0; index < all_hosts; ++index) {
+            const core::host_id host{"host-" + std::to_string(index)};
+            kept += kept_connections({accepted, all_hosts, 6},
+                                     {false, 0, place_among_hosts(host, id)});
+        }
+        BOOST_TEST(kept < accepted);
+        BOOST_TEST(kept > accepted / 2);
+    }
 }
 
 // Guards against one replica that all hosts of a large deployment keep connected.
