Keep few connections while those of former processes linger

The hosts that came first took the 52 free ones of each target and kept them, the others were refused (20,423 refusals in 2 s); when the former ones were dropped, all connected at once, so that connects timed out after 400 ms and statements found no slot (3,135 busy). Change: for 4 s after its start a host keeps connections only to the targets where its place is in the first half of what is left; afterwards it opens the rest 200 ms apart.

--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -182,6 +182,7 @@
     void probe(target_state& target);
     void search_primary(const core::service_id& id, service_state& state);
     void keep_targets();
+    void keep_settling();
     void keep_contact(target_state& target);
     void keep_isolation();
     [[nodiscard]] bool is_isolated() const;
@@ -235,6 +236,11 @@
     /// Since when no target outside the own failure domain is reached.
     std::optional<core::time_point> isolated_since_;
     core::time_point last_upkeep_;
+    /// First event.
+    std::optional<core::time_point> started_at_;
+    bool settling_ = true;
+    /// Last connection opened only to be kept.
+    core::time_point last_kept_connect_;
 };
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
@@ -34,6 +34,13 @@
     std::chrono::milliseconds spare_idle{1500};
     /// The same where hosts outnumber a target's connections.
     std::chrono::milliseconds scarce_spare_idle{400};
+    /// Time for which targets may count connections of hosts that lost power; targets drop
+    /// connections to unreachable peers after 3 s.
+    std::chrono::milliseconds settling_time{4000};
+    /// Pause between connections that are opened only to be kept. All hosts settle at about the
+    /// same time after a loss of power; opened at once, their connections fill a target's slots for
+    /// most of a second (124 hosts, 27 ms, 4 slots).
+    std::chrono::milliseconds kept_connect_pause{200};
     /// Pause between probes of all targets while a service has no known primary.
     std::chrono::milliseconds search_interval{150};
     /// A primary that failed for this long is suspected.
--- a/packages/proxy/include/lovagemoor/proxy/pool/connection_share.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/pool/connection_share.hpp
@@ -33,6 +33,8 @@
     std::size_t homes = 0;
     /// Place of the host among all hosts, in [0, 1).
     double place = 0;
+    /// The host started lately: targets may still count connections of former processes.
+    bool settling = false;
 };
 
 /// @brief Connections that this host keeps open to a target without use.
@@ -42,6 +44,10 @@
 /// of the target's connections suffice: those whose home it is, then others by their place.
 /// Answers the pattern of many hosts with rare statements each: a connection opened for each
 /// statement takes more of a target's slots than the statements do.
+///
+/// While hosts settle, they keep only half of what their former processes left, so that the other
+/// half serves statements. Answers the pattern of all hosts that return from a loss of power: few
+/// of them would hold all free connections, and the others could not reach the target.
 [[nodiscard]] unsigned kept_connections(const connection_limit& limit,
                                         const connection_claim& claim) noexcept;
 
--- a/packages/proxy/src/engine/engine.cpp
+++ b/packages/proxy/src/engine/engine.cpp
@@ -19,6 +19,9 @@
 
 action_list engine::handle(core::time_point now, const event& input) {
     now_ = now;
+    if (!started_at_.has_value()) {
+        started_at_ = now;
+    }
     out_.clear();
     std::visit([this](const auto& specific) { on(specific); }, input);
     if (now_ - last_upkeep_ >= internal::upkeep_interval) {
@@ -89,6 +92,7 @@
     last_upkeep_ = now_;
     keep_sessions();
     keep_connections();
+    keep_settling();
     keep_targets();
     keep_hosts();
     keep_isolation();
--- a/packages/proxy/src/engine/engine_requests.cpp
+++ b/packages/proxy/src/engine/engine_requests.cpp
@@ -103,6 +103,7 @@
             claim.homes = hosts_.size() / replicas[service].size();
         }
         claim.place = place_among_hosts(settings_.host, id);
+        claim.settling = settling_;
         target.kept = kept_connections(limit_of(target), claim);
     }
     kept_outdated_ = false;
--- a/packages/proxy/src/engine/engine_upkeep.cpp
+++ b/packages/proxy/src/engine/engine_upkeep.cpp
@@ -94,6 +94,13 @@
     return spare;
 }
 
+void engine::keep_settling() {
+    if (settling_ && now_ - *started_at_ >= settings_.settling_time) {
+        settling_ = false;
+        kept_outdated_ = true;
+    }
+}
+
 void engine::keep_targets() {
     if (kept_outdated_) {
         update_kept_connections();
@@ -113,8 +120,9 @@
 
 void engine::keep_contact(target_state& target) {
     if (target.connections() == 0) {
-        if (target.kept > 0) {
-            open_connection(target);
+        const bool paced = !settling_ && now_ - last_kept_connect_ < settings_.kept_connect_pause;
+        if (target.kept > 0 && !paced && open_connection(target) != 0) {
+            last_kept_connect_ = now_;
         }
         return;
     }
--- a/packages/proxy/src/pool/connection_share.cpp
+++ b/packages/proxy/src/pool/connection_share.cpp
@@ -43,10 +43,14 @@
     if (half > 0) {
         return half;
     }
+    const auto hosts = static_cast<double>(internal::sharers_of(limit));
+    const double held = limit.connections * internal::held_part;
+    if (claim.settling) {
+        const double left = limit.connections - std::min(hosts, held);
+        return claim.place * hosts < left / 2 ? 1U : 0U;
+    }
     const auto homes = static_cast<double>(claim.homes);
-    const double others = static_cast<double>(internal::sharers_of(limit)) - homes;
-    const double room = limit.connections * internal::held_part - homes;
-    return claim.home || claim.place * others < room ? 1U : 0U;
+    return claim.home || claim.place * (hosts - homes) < held - homes ? 1U : 0U;
 }
 
 double place_among_hosts(const core::host_id& host, const core::target_id& target) {
--- a/packages/proxy/test/engine/engine_test.cpp
+++ b/packages/proxy/test/engine/engine_test.cpp
@@ -326,6 +326,23 @@
     BOOST_TEST(cluster.connects_to(t0) == before + 1);
 }
 
+// Found on halgeld-pool-grown: hosts that returned from a loss of power took all connections that
+// their former processes left, and later opened the rest at once, which filled the targets' slots.
+BOOST_AUTO_TEST_CASE(kept_connections_are_opened_late_and_one_by_one) {
+    fake_cluster cluster;
+    cluster.start_reference(20);
+    cluster.run_for(3900ms);
+    const auto opened = [&] {
+        return cluster.connects_to(t0) + cluster.connects_to(t1) + cluster.connects_to(t2);
+    };
+    const std::size_t while_settling = opened();
+    BOOST_TEST(while_settling < 3U);
+    cluster.run_for(150ms);
+    BOOST_TEST(opened() <= while_settling + 1);
+    cluster.run_for(600ms);
+    BOOST_TEST(opened() == 3U);
+}
+
 // Guards against an older configuration coming back.
 BOOST_AUTO_TEST_CASE(an_older_configuration_is_not_applied) {
     fake_cluster cluster = started();
