Let the holder of the duty act for all services; await claims of others

One host claimed the duty and replaced the primary of the one service whose loss it had reported itself; two services waited 6 s, while the reporting hosts claimed the held duty in vain, up to 111 times a second with two calls each. Ruled out: missing reports (15 of 20 observers reported lepu28b within 0.3 s). Change: the holder acts on every loss that the observers confirm. Hosts learn of a claim and of its end from the watch that they have on reports anyway, and claim only when none is known. Tests: the_holder_of_the_duty_acts_on_reports_of_others, a_known_claim_of_another_host_is_awaited, a_claim_is_awaited_no_longer_than_it_lasts, news_of_earlier_claims_do_not_end_an_own_one.

--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -100,6 +100,7 @@
     void on(const suspicion_publish_failed& input);
     void on(const registry_reachable& input);
     void on(const duty_claimed& input);
+    void on(const duty_taken& input);
     void on(const duty_released& input);
     void on(const promotion_answered& input);
     void on(const stop_requested& input);
@@ -197,6 +198,7 @@
     [[nodiscard]] bool is_failing(const service_state& state) const;
     [[nodiscard]] bool reaches_replica(const core::service_id& id, const service_state& state);
     [[nodiscard]] bool suspicion_confirmed(const service_state& state) const;
+    [[nodiscard]] promotion_cause cause_of(const core::service_id& id, service_state& state);
     [[nodiscard]] bool may_promote_now(const core::service_id& id, const service_state& state,
                                        core::time_point needed_since) const;
     void choose_observers_of(const core::service_id& id, service_state& state);
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -154,8 +154,16 @@
     std::chrono::milliseconds valid_for{0};
 };
 
-/// @brief The claim ended, by its holder or because its lease ran out.
-struct duty_released {};
+/// @brief Another host claimed the duty.
+struct duty_taken {
+    std::uint64_t fencing_token = 0;
+};
+
+/// @brief A claim ended, by its holder or because its lease ran out.
+struct duty_released {
+    /// Above the fencing token of the claim that ended, below those of later ones.
+    std::uint64_t revision = 0;
+};
 
 enum class promotion_result : std::uint8_t {
     accepted,
@@ -185,7 +193,7 @@
                            target_replied, target_disconnected, configuration_changed,
                            targets_listed, target_changed, target_removed, hosts_listed,
                            host_joined, host_left, suspicion_reported, suspicion_withdrawn,
-                           suspicion_publish_failed, duty_claimed, duty_released,
+                           suspicion_publish_failed, duty_claimed, duty_taken, duty_released,
                            promotion_answered, registry_reachable, stop_requested, timer_expired>;
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/include/lovagemoor/proxy/promotion/promoter.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/promotion/promoter.hpp
@@ -99,7 +99,11 @@
 
     void on_duty(core::time_point now, const duty_claimed& result);
 
-    void on_duty_released() { token_.reset(); }
+    /// @brief Another host claimed the duty.
+    void on_duty_taken(core::time_point now, const duty_taken& claim);
+
+    /// @brief A claim ended, of this host or of another one.
+    void on_duty_released(const duty_released& end);
 
     void on_status(const core::service_id& service, const core::target_id& target,
                    const target_status& status);
@@ -111,6 +115,9 @@
     /// @return True while a promotion of the service is under way here.
     [[nodiscard]] bool promoting(const core::service_id& service) const;
 
+    /// @return True if this host may promote now.
+    [[nodiscard]] bool holds_duty(core::time_point now) const;
+
 private:
     enum class stage : std::uint8_t { inspecting, calling, taking_over };
 
@@ -124,7 +131,6 @@
         core::time_point called;
     };
 
-    [[nodiscard]] bool holds_duty(core::time_point now) const;
     void start(core::time_point now, const service_outlook& outlook,
                std::vector<promoter_step>& steps);
     void advance_attempt(core::time_point now, const service_outlook& outlook, attempt& current,
@@ -138,6 +144,8 @@
     std::optional<std::uint64_t> token_;
     core::time_point token_until_;
     bool claiming_ = false;
+    /// Another host's claim lasts at most until then.
+    core::time_point taken_until_;
     core::time_point claim_after_;
     std::map<core::service_id, attempt> attempts_;
 };
--- a/packages/proxy/src/engine/engine_promotion.cpp
+++ b/packages/proxy/src/engine/engine_promotion.cpp
@@ -125,22 +125,33 @@
         }
     }
     for (const target_state* const target : pool_.of_service(id)) {
-        if (target->record.id == outlook.primary) {
-            if (target->record.draining && may_promote_now(id, state, target->draining_since)) {
-                outlook.cause = promotion_cause::primary_draining;
-            }
-        } else if (!target->removed_at.has_value()) {
+        if (target->record.id != outlook.primary && !target->removed_at.has_value()) {
             outlook.replicas.push_back({target->record.id, target->record.draining});
         }
     }
-    if (state.suspicion_published && suspicion_confirmed(state)) {
+    outlook.cause = cause_of(id, state);
+    return outlook;
+}
+
+promotion_cause engine::cause_of(const core::service_id& id, service_state& state) {
+    // A single host holds the duty for all services, so that it also acts for those whose loss it
+    // only knows from the reports of others.
+    const bool holds_duty = promoter_.holds_duty(now_);
+    if (!state.reporters.empty() && (holds_duty || state.suspicion_published)) {
+        choose_observers_of(id, state);
         const core::time_point since =
             state.failing_since.value_or(state.missing_since.value_or(now_));
-        if (may_promote_now(id, state, since + settings_.suspicion_delay)) {
-            outlook.cause = promotion_cause::primary_lost;
+        if (suspicion_confirmed(state) &&
+            (holds_duty || may_promote_now(id, state, since + settings_.suspicion_delay))) {
+            return promotion_cause::primary_lost;
         }
     }
-    return outlook;
+    const std::optional<core::target_id>& primary = state.view.primary();
+    const target_state* const target = primary.has_value() ? pool_.find(*primary) : nullptr;
+    const bool draining = target != nullptr && target->record.draining;
+    return draining && (holds_duty || may_promote_now(id, state, target->draining_since))
+               ? promotion_cause::primary_draining
+               : promotion_cause::none;
 }
 
 void engine::run_promoter() {
@@ -234,8 +245,13 @@
     run_promoter();
 }
 
-void engine::on(const duty_released& /*input*/) {
-    promoter_.on_duty_released();
+void engine::on(const duty_taken& input) {
+    promoter_.on_duty_taken(now_, input);
+}
+
+void engine::on(const duty_released& input) {
+    promoter_.on_duty_released(input);
+    run_promoter();
 }
 
 void engine::on(const promotion_answered& input) {
--- a/packages/proxy/src/promotion/promoter.cpp
+++ b/packages/proxy/src/promotion/promoter.cpp
@@ -26,7 +26,7 @@
 void promoter::start(core::time_point now, const service_outlook& outlook,
                      std::vector<promoter_step>& steps) {
     if (!holds_duty(now)) {
-        if (!claiming_ && now >= claim_after_) {
+        if (!claiming_ && now >= claim_after_ && now >= taken_until_) {
             claiming_ = true;
             claim_after_ = now + 2 * settings_.claim_duration;
             steps.emplace_back(request_duty{settings_.claim_duration});
@@ -128,6 +128,21 @@
     }
 }
 
+void promoter::on_duty_taken(core::time_point now, const duty_taken& claim) {
+    if (token_.has_value() && *token_ > claim.fencing_token) {
+        return;
+    }
+    token_.reset();
+    taken_until_ = now + settings_.claim_duration;
+}
+
+void promoter::on_duty_released(const duty_released& end) {
+    taken_until_ = {};
+    if (token_.has_value() && *token_ < end.revision) {
+        token_.reset();
+    }
+}
+
 void promoter::on_status(const core::service_id& service, const core::target_id& target,
                          const target_status& status) {
     const auto found = attempts_.find(service);
--- a/packages/proxy/test/engine/engine_test.cpp
+++ b/packages/proxy/test/engine/engine_test.cpp
@@ -1,10 +1,14 @@
 #include "fake_cluster.hpp"
 
+#include <lovagemoor/proxy/promotion/observers.hpp>
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <ostream>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -238,6 +242,31 @@
     BOOST_TEST(calls.front().fencing_token == 7U);
 }
 
+// Found on halgeld-pool-grown: two services waited 6 s for a primary, as the holder of the duty had
+// not reported their loss itself and the reporting hosts did not get the duty.
+BOOST_AUTO_TEST_CASE(the_holder_of_the_duty_acts_on_reports_of_others) {
+    constexpr int host_count = 60;
+    std::vector<core::host_id> all;
+    for (int index = 1; index <= host_count; ++index) {
+        all.push_back(core::host_id{"host-" + std::to_string(index)});
+    }
+    const std::set<core::host_id> observers = choose_observers(core::service_id{"s"}, all);
+    engine_settings settings = fake_cluster::default_settings();
+    settings.host = *std::find_if(all.begin(), all.end(), [&](const core::host_id& host) {
+        return !observers.contains(host);
+    });
+    fake_cluster cluster{1, settings};
+    cluster.start_reference(host_count);
+    cluster.send(cluster.open("latest"), kind::write, "x");
+    cluster.run_for(100ms);
+    cluster.apply(duty_claimed{duty_claim_result::acquired, 7, 3000ms});
+    for (const core::host_id& observer : observers) {
+        cluster.apply(suspicion_reported{{core::service_id{"s"}, t0, observer}});
+    }
+    cluster.run_for(500ms);
+    BOOST_TEST(!cluster.performed<promote_target>().empty());
+}
+
 // Guards against waiting for the notice to run out: a draining primary is replaced at once.
 BOOST_AUTO_TEST_CASE(a_draining_primary_is_replaced) {
     fake_cluster cluster = started();
--- a/packages/proxy/test/promotion/promoter_test.cpp
+++ b/packages/proxy/test/promotion/promoter_test.cpp
@@ -52,6 +52,24 @@
     return made;
 }
 
+struct turn_case {
+    const char* name;
+    /// Nothing if no claim of another host is known.
+    std::optional<duty_taken> taken;
+    std::optional<duty_released> released;
+    bool claims;
+
+    friend std::ostream& operator<<(std::ostream& output, const turn_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<turn_case> turn_cases{
+    {"free", std::nullopt, std::nullopt, true},
+    {"taken by another host", duty_taken{9}, std::nullopt, false},
+    {"released again", duty_taken{9}, duty_released{10}, true},
+};
+
 struct choice_case {
     const char* name;
     std::vector<std::pair<core::target_id, target_status>> positions;
@@ -75,6 +93,39 @@
 
 } // namespace
 
+// Found on halgeld-pool-grown: while one host held the duty, up to 111 others a second claimed it in
+// vain, each with two calls to the registry.
+BOOST_DATA_TEST_CASE(a_known_claim_of_another_host_is_awaited,
+                     boost::unit_test::data::make(turn_cases), sample) {
+    promoter made{promoter_settings{}};
+    if (sample.taken.has_value()) {
+        made.on_duty_taken(start, *sample.taken);
+    }
+    if (sample.released.has_value()) {
+        made.on_duty_released(*sample.released);
+    }
+    BOOST_TEST(only<request_duty>(made.advance(start + 2s, {lost()})).has_value() ==
+               sample.claims);
+    BOOST_TEST(made.promoting(service) == false);
+}
+
+// Guards against waiting for a claim whose end was not learned of.
+BOOST_AUTO_TEST_CASE(a_claim_is_awaited_no_longer_than_it_lasts) {
+    promoter made{promoter_settings{}};
+    made.on_duty_taken(start, duty_taken{9});
+    BOOST_TEST(only<request_duty>(made.advance(start + 3s, {lost()})).has_value());
+}
+
+// Guards against news of earlier claims that arrive after an own claim.
+BOOST_AUTO_TEST_CASE(news_of_earlier_claims_do_not_end_an_own_one) {
+    promoter made = inspecting(lost());
+    made.on_duty_taken(start, duty_taken{7});
+    made.on_duty_released(duty_released{8});
+    BOOST_TEST(made.holds_duty(start + 1s));
+    made.on_duty_released(duty_released{10});
+    BOOST_TEST(!made.holds_duty(start + 1s));
+}
+
 // Guards against losing commits that another replica has.
 BOOST_DATA_TEST_CASE(promotes_the_most_complete_replica, boost::unit_test::data::make(choices),
                      sample) {
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -357,8 +357,10 @@
     const std::string& key = change.item.key;
     if (key == internal::duty_key) {
         if (change.removed) {
-            handle(proxy::duty_released{});
-        } else if (change.item.value == settings_.id.value && claim_sent_.has_value()) {
+            handle(proxy::duty_released{change.item.revision});
+        } else if (change.item.value != settings_.id.value) {
+            handle(proxy::duty_taken{change.item.revision});
+        } else if (claim_sent_.has_value()) {
             // The answer to the claim was lost.
             finish_claim({proxy::duty_claim_result::acquired, change.item.revision, {}});
         }
