Settle once targets refuse no connection any more

Cause: hosts that returned from a loss of power settled for 4 s, though targets drop the former connections 1.4 s after the return; connections opened for single statements filled the slots (3,107 statements refused as busy in 3 s). A host now settles 1 s after its last refusal for the limit, or after 4 s.

--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -241,6 +241,8 @@
     /// First event.
     std::optional<core::time_point> started_at_;
     bool settling_ = true;
+    /// Last time that a target had no connection left.
+    core::time_point last_limit_refusal_;
     /// Last connection opened only to be kept.
     core::time_point last_kept_connect_;
 };
--- a/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
@@ -37,6 +37,9 @@
     /// Time for which targets may count connections of hosts that lost power; targets drop
     /// connections to unreachable peers after 3 s.
     std::chrono::milliseconds settling_time{4000};
+    /// Targets that refused no connection for this long count none of former processes: several
+    /// times the pause after which a refused host tries again (connect_backoff).
+    std::chrono::milliseconds settled_after{1000};
     /// Pause between connections that are opened only to be kept. All hosts settle at about the
     /// same time after a loss of power; opened at once, their connections fill a target's slots for
     /// most of a second (124 hosts, 27 ms, 4 slots).
--- a/packages/proxy/src/engine/engine_replies.cpp
+++ b/packages/proxy/src/engine/engine_replies.cpp
@@ -312,8 +312,9 @@
             now_ + std::min<core::duration>(settings_.connect_backoff * (1U << doublings),
                                             settings_.connect_backoff_max);
     }
-    // A target without a free connection works; only the others count as failures.
-    if (input.reason != target_close_reason::connection_limit) {
+    if (input.reason == target_close_reason::connection_limit) {
+        last_limit_refusal_ = now_;
+    } else {
         on_target_failure(lost.target, now_);
     }
     on_connection_lost(lost, was_open);
--- a/packages/proxy/src/engine/engine_upkeep.cpp
+++ b/packages/proxy/src/engine/engine_upkeep.cpp
@@ -95,7 +95,9 @@
 }
 
 void engine::keep_settling() {
-    if (settling_ && now_ - *started_at_ >= settings_.settling_time) {
+    const core::time_point disturbed = std::max(*started_at_, last_limit_refusal_);
+    if (settling_ && (now_ - *started_at_ >= settings_.settling_time ||
+                      now_ - disturbed >= settings_.settled_after)) {
         settling_ = false;
         kept_outdated_ = true;
     }
--- a/packages/proxy/test/engine/fake_cluster.hpp
+++ b/packages/proxy/test/engine/fake_cluster.hpp
@@ -41,6 +41,8 @@
         bool crashed = false;
         /// Time until a new connection is ready, beside the delay of the network.
         core::duration connect_time{0};
+        /// Refuses connections.
+        bool full = false;
         /// Refuses statements for lack of slots.
         bool busy = false;
         /// Runs this many statements whose answers are lost.
@@ -334,6 +336,9 @@
             const auto found = targets.find(request.target);
             if (found == targets.end() || found->second.crashed) {
                 apply(target_disconnected{request.connection, target_close_reason::refused});
+            } else if (found->second.full) {
+                apply(target_disconnected{request.connection,
+                                          target_close_reason::connection_limit});
             } else if (!found->second.reachable) {
                 after(request.timeout, [this, request] {
                     apply(target_disconnected{request.connection, target_close_reason::timed_out});
