--- a/packages/gateway/include/lovagemoor/gateway/target_links.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/target_links.hpp
@@ -40,6 +40,7 @@
         bool started = false;
     };
 
+    void limit_wait(core::connection_id id, std::chrono::milliseconds longest);
     void on_connected(const proxy::open_target& request);
     void on_line(core::connection_id id, std::string_view line);
     void on_started(core::connection_id id, const proxy::statement_result& result);
--- a/packages/gateway/src/target_links.cpp
+++ b/packages/gateway/src/target_links.cpp
@@ -32,14 +32,7 @@
 void target_links::perform(const proxy::open_target& action) {
     link& opened = links_[action.connection];
     opened.socket = std::make_shared<boost::asio::ip::tcp::socket>(context_);
-    opened.timer = std::make_shared<boost::asio::steady_timer>(context_, action.timeout);
-    opened.timer->async_wait(
-        [this, id = action.connection](const boost::system::error_code& error) {
-            const auto found = links_.find(id);
-            if (!error && found != links_.end() && !found->second.started) {
-                end(id, proxy::target_close_reason::timed_out);
-            }
-        });
+    limit_wait(action.connection, action.connect_timeout);
     boost::system::error_code invalid;
     boost::asio::ip::tcp::endpoint endpoint;
     try {
@@ -60,12 +53,24 @@
         });
 }
 
+void target_links::limit_wait(core::connection_id id, std::chrono::milliseconds longest) {
+    link& opened = links_.at(id);
+    opened.timer = std::make_shared<boost::asio::steady_timer>(context_, longest);
+    opened.timer->async_wait([this, id](const boost::system::error_code& error) {
+        const auto found = links_.find(id);
+        if (!error && found != links_.end() && !found->second.started) {
+            end(id, proxy::target_close_reason::timed_out);
+        }
+    });
+}
+
 void target_links::on_connected(const proxy::open_target& request) {
     const core::connection_id id = request.connection;
     link& opened = links_.at(id);
     configure_socket(*opened.socket);
     opened.stream = std::make_shared<line_stream>(std::move(*opened.socket));
     opened.socket.reset();
+    limit_wait(id, request.greeting_timeout);
     opened.stream->start(
         [this, id](std::string_view line) { on_line(id, line); },
         [this, id](stream_end /*reason*/) { end(id, proxy::target_close_reason::closed); });
--- a/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
@@ -48,7 +48,10 @@
     core::service_id service;
     /// ip:port
     std::string address;
-    std::chrono::milliseconds timeout{0};
+    /// Longest wait for the target's machine to accept.
+    std::chrono::milliseconds connect_timeout{0};
+    /// Longest wait for the target's greeting after that.
+    std::chrono::milliseconds greeting_timeout{0};
 };
 
 /// @brief Sends commands in one piece; each gets one target_replied, in order.
--- a/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
@@ -10,9 +10,12 @@
 struct engine_settings {
     core::host_id host;
     core::domain_id domain;
-    /// Longest wait for a connection to a target to open. Several times the slowest connect of the
-    /// reference deployments (27 ms).
+    /// Longest wait for a target's machine to accept a connection; a machine that is reached answers
+    /// within a few milliseconds.
     std::chrono::milliseconds connect_timeout{400};
+    /// Longest wait for a target's greeting after that. A greeting takes one of the target's slots
+    /// and waits for it behind others: up to 0.9 s when 124 hosts connect at once (27 ms, 4 slots).
+    std::chrono::milliseconds greeting_timeout{2000};
     /// First pause after a failed connect; doubles up to connect_backoff_max.
     std::chrono::milliseconds connect_backoff{100};
     std::chrono::milliseconds connect_backoff_max{1000};
--- a/packages/proxy/src/engine/engine_requests.cpp
+++ b/packages/proxy/src/engine/engine_requests.cpp
@@ -240,7 +240,8 @@
     const core::connection_id id = ids_.next();
     pool_.open(target, id, now_);
     out_.emplace_back(open_target{id, target.record.id, target.record.service,
-                                  target.record.address, settings_.connect_timeout});
+                                  target.record.address, settings_.connect_timeout,
+                                  settings_.greeting_timeout});
     return id;
 }
 
