Count reports of a lost primary only for the primary that they name

The holder of the duty promoted i-6b98 at 6.56 s and saw it lead at 7.27 s. Ruled out: the proofs of leadership (the primary's answers were right), the store's outage (later). Change: a report counts only if it names the primary that this host knows; one without a name counts for hosts that miss the primary themselves. Test: the_holder_of_the_duty_acts_on_reports_of_others, which now plays the time after the promotion (2 calls before, 1 expected).

--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -50,8 +50,9 @@
         std::vector<session_id> waiting;
         /// Since when no target is known to lead.
         std::optional<core::time_point> missing_since;
-        /// Hosts that report that they cannot reach the primary.
-        std::set<core::host_id> reporters;
+        /// Hosts that report a lost primary, and the target that they take for it; empty if they
+        /// know none.
+        std::map<core::host_id, core::target_id> reporters;
         /// Hosts whose reports count.
         std::set<core::host_id> observers;
         /// The version of the list of hosts from which they were chosen.
@@ -197,6 +198,8 @@
     [[nodiscard]] service_outlook outlook_of(const core::service_id& id, service_state& state);
     [[nodiscard]] bool is_failing(const service_state& state) const;
     [[nodiscard]] bool reaches_replica(const core::service_id& id, const service_state& state);
+    [[nodiscard]] static bool concerns_primary(const service_state& state,
+                                               const core::target_id& suspected);
     [[nodiscard]] bool suspicion_confirmed(const service_state& state) const;
     [[nodiscard]] promotion_cause cause_of(const core::service_id& id, service_state& state);
     [[nodiscard]] bool may_promote_now(const core::service_id& id, const service_state& state,
--- a/packages/proxy/src/engine/engine_promotion.cpp
+++ b/packages/proxy/src/engine/engine_promotion.cpp
@@ -64,8 +64,8 @@
         return;
     }
     state.suspicion_published = true;
-    state.reporters.insert(settings_.host);
     const core::target_id primary = state.view.primary().value_or(core::target_id{});
+    state.reporters[settings_.host] = primary;
     log(core::log_event::level::warning, "primary_suspected",
         {{"service", id.value},
          {"target", primary.value},
@@ -73,6 +73,13 @@
     out_.emplace_back(publish_suspicion{suspicion_report{id, primary, settings_.host}});
 }
 
+bool engine::concerns_primary(const service_state& state, const core::target_id& suspected) {
+    const std::optional<core::target_id>& primary = state.view.primary();
+    // Reports of a former primary are withdrawn only after the new one has proven itself.
+    return !primary.has_value() || *primary == suspected ||
+           (suspected.value.empty() && state.suspicion_published);
+}
+
 bool engine::suspicion_confirmed(const service_state& state) const {
     suspicion_count count;
     std::set<core::domain_id> domains;
@@ -83,7 +90,8 @@
         }
         ++count.hosts;
         domains.insert(host.domain);
-        if (state.reporters.contains(id)) {
+        const auto report = state.reporters.find(id);
+        if (report != state.reporters.end() && concerns_primary(state, report->second)) {
             ++count.reporters;
             reporting.insert(host.domain);
         }
@@ -220,7 +228,7 @@
         out_.emplace_back(withdraw_suspicion{input.report.service});
         return;
     }
-    state.reporters.insert(input.report.reporter);
+    state.reporters[input.report.reporter] = input.report.primary;
     run_promoter();
 }
 
--- a/packages/proxy/test/engine/engine_test.cpp
+++ b/packages/proxy/test/engine/engine_test.cpp
@@ -264,7 +264,13 @@
         cluster.apply(suspicion_reported{{core::service_id{"s"}, t0, observer}});
     }
     cluster.run_for(500ms);
-    BOOST_TEST(!cluster.performed<promote_target>().empty());
+    BOOST_REQUIRE(cluster.performed<promote_target>().size() == 1U);
+    const core::target_id chosen = cluster.performed<promote_target>().front().target;
+    cluster.apply(promotion_answered{core::service_id{"s"}, chosen, promotion_result::accepted});
+    cluster.promote(chosen);
+    // The reports of the former primary are withdrawn later.
+    cluster.run_for(1s);
+    BOOST_TEST(cluster.performed<promote_target>().size() == 1U);
 }
 
 // Guards against waiting for the notice to run out: a draining primary is replaced at once.
