Let the pause between watches grow while changes follow each other

Change: the pause before the next watch doubles from 100 ms (targets 200 ms) to 800 ms while changes follow within 800 ms. A single change is learned of at once as before. Test: changes_in_succession_take_few_watches.

--- a/packages/proxy/include/lovagemoor/proxy/registry/registry_follower.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/registry_follower.hpp
@@ -18,6 +18,8 @@
     std::chrono::milliseconds watch_wait{25000};
     /// Pause after changes before the next watch, so that changes that come together take one call.
     std::chrono::milliseconds watch_pause{0};
+    /// The pause doubles up to this while changes follow each other within this time.
+    std::chrono::milliseconds watch_pause_max{0};
     /// The items are listed anew after this time instead of watched; 0 to watch. For items whose
     /// changes are many and not urgent.
     std::chrono::milliseconds poll_interval{0};
@@ -55,6 +57,7 @@
 
 private:
     void on_failure(core::time_point now);
+    void pause_watching(core::time_point now);
 
     [[nodiscard]] bool polls() const noexcept { return settings_.poll_interval.count() > 0; }
 
@@ -66,6 +69,9 @@
     registry_revision revision_ = 0;
     unsigned failures_ = 0;
     core::time_point retry_at_;
+    core::duration pause_{0};
+    /// When the last pause ended.
+    core::time_point paused_until_;
     std::vector<item_change> listed_;
 };
 
--- a/packages/proxy/src/registry/registry_follower.cpp
+++ b/packages/proxy/src/registry/registry_follower.cpp
@@ -59,11 +59,20 @@
     failures_ = 0;
     revision_ = std::max(revision_, changes.revision);
     if (!changes.changes.empty()) {
-        retry_at_ = now + settings_.watch_pause;
+        pause_watching(now);
     }
     return update{false, changes.changes};
 }
 
+void registry_follower::pause_watching(core::time_point now) {
+    const bool in_succession = now - paused_until_ < settings_.watch_pause_max;
+    pause_ = in_succession ? std::min<core::duration>(2 * pause_, settings_.watch_pause_max)
+                           : settings_.watch_pause;
+    pause_ = std::max<core::duration>(pause_, settings_.watch_pause);
+    paused_until_ = now + pause_;
+    retry_at_ = paused_until_;
+}
+
 void registry_follower::on_failure(core::time_point now) {
     const unsigned doublings = std::min(failures_, 4U);
     ++failures_;
--- a/packages/proxy/test/registry/registry_follower_test.cpp
+++ b/packages/proxy/test/registry/registry_follower_test.cpp
@@ -94,6 +94,30 @@
     BOOST_TEST(follower.next_call(now).has_value());
 }
 
+// Found on halgeld-pool-grown: each of 21 configurations in 7 s cost one call of each of 124 hosts.
+BOOST_AUTO_TEST_CASE(changes_in_succession_take_few_watches) {
+    registry_follower follower = listed({.watch_pause = 100ms, .watch_pause_max = 800ms});
+    core::time_point now = start;
+    const core::time_point quiet = start + 7s;
+    int watches = 0;
+    while (now < quiet) {
+        BOOST_REQUIRE(follower.next_call(now).has_value());
+        ++watches;
+        // The next change comes 330 ms after the watch began at the latest.
+        now += 330ms;
+        static_cast<void>(
+            follower.on_changes(now, {registry_status::done, {{{"p/a", "2", 8}, false}}, 8}));
+        BOOST_TEST((follower.retry_at() - now <= 800ms));
+        now = follower.retry_at();
+    }
+    BOOST_TEST(watches < 10);
+    now += 2s;
+    BOOST_REQUIRE(follower.next_call(now).has_value());
+    static_cast<void>(
+        follower.on_changes(now, {registry_status::done, {{{"p/a", "3", 9}, false}}, 9}));
+    BOOST_TEST((follower.retry_at() - now == 100ms));
+}
+
 // Found on dala-ops-grown: every registration of a host woke the watches of all hosts.
 BOOST_AUTO_TEST_CASE(polled_items_are_listed_without_watches) {
     registry_follower follower = listed({.poll_interval = 8s});
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -34,8 +34,12 @@
 /// The list of hosts decides only on shares of connections and on majorities.
 constexpr std::chrono::seconds hosts_poll_interval{8};
 
-/// Targets that start together are learned of in one call.
+/// Targets that start together, and configurations in quick succession, are learned of in few calls.
+/// The last change of a series is in force 1 s later; the tightest bound of the reference deployments
+/// is 3 s.
 constexpr std::chrono::milliseconds targets_watch_pause{200};
+constexpr std::chrono::milliseconds configuration_watch_pause{100};
+constexpr std::chrono::milliseconds watch_pause_max{800};
 
 /// Reports of a lost primary come in quick succession.
 constexpr std::chrono::milliseconds reports_watch_pause{100};
@@ -83,9 +87,12 @@
           context_, settings.ready_listen,
           [this](const gateway::http_server::request& request) { return answer_request(request); }},
       store_{context_, settings.registry_address, settings.call_timeout},
-      configuration_follower_{std::string{platform_adapter::configuration_key}},
+      configuration_follower_{std::string{platform_adapter::configuration_key},
+                              {.watch_pause = internal::configuration_watch_pause,
+                               .watch_pause_max = internal::watch_pause_max}},
       targets_follower_{std::string{platform_adapter::targets_prefix},
-                        {.watch_pause = internal::targets_watch_pause}},
+                        {.watch_pause = internal::targets_watch_pause,
+                         .watch_pause_max = internal::watch_pause_max}},
       hosts_follower_{std::string{internal::hosts_prefix},
                       {.poll_interval = internal::hosts_poll_interval}},
       promotion_follower_{std::string{internal::promotion_prefix},
