Follow reports and claims only with a part in a promotion

Cause, on the grown deployments: every report of a lost primary, its withdrawal and each claim of the duty woke the watches of all hosts, 124 paid calls each; only the observers that suspect a primary, or replace a draining one, use them. Change: a host follows them from its own suspicion (or as an observer of a draining primary) until 3 s after its last part, with a list first. Reports that it no longer follows are forgotten. Only observers replace draining primaries. Whether the registry is reached is told by the follower of the configuration, which is always active. Results for a dropped follower are dropped. Test: reports_are_followed_only_for_a_part_in_a_promotion.

--- a/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
@@ -77,6 +77,11 @@
 };
 
 /// @brief Asks for the right to promote, for a limited time; answered with duty_claimed.
+/// @brief Reports of lost primaries and claims of the duty are needed, or no longer.
+struct follow_promotions {
+    bool active = false;
+};
+
 struct claim_duty {
     std::chrono::milliseconds duration{0};
 };
@@ -100,7 +105,7 @@
 
 using action = std::variant<accept_session, reject_session, answer_statement, close_session,
                             open_target, send_commands, close_target, publish_suspicion,
-                            withdraw_suspicion, claim_duty, promote_target, set_ready, stop_process,
+                            withdraw_suspicion, follow_promotions, claim_duty, promote_target, set_ready, stop_process,
                             core::log_event, core::count_metric, core::observe_duration>;
 
 using action_list = std::vector<action>;
--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -96,6 +96,7 @@
     void on(const hosts_listed& input);
     void on(const host_joined& input);
     void on(const host_left& input);
+    void on(const suspicions_listed& input);
     void on(const suspicion_reported& input);
     void on(const suspicion_withdrawn& input);
     void on(const suspicion_publish_failed& input);
@@ -195,6 +196,8 @@
     void close_spare_connections();
     void keep_stopping();
     void run_promoter();
+    void keep_promotion_interest();
+    void forget_reports();
     [[nodiscard]] service_outlook outlook_of(const core::service_id& id, service_state& state);
     [[nodiscard]] bool is_failing(const service_state& state) const;
     [[nodiscard]] bool reaches_replica(const core::service_id& id, const service_state& state);
@@ -234,6 +237,9 @@
     std::uint64_t hosts_version_ = 0;
     std::vector<pending_inspection> inspections_;
     promoter promoter_;
+    bool follows_promotions_ = false;
+    /// Last time that this host had a part in a promotion.
+    std::optional<core::time_point> promotion_interest_;
     bool targets_known_ = false;
     bool registry_reachable_ = true;
     bool ready_ = false;
--- a/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
@@ -51,6 +51,9 @@
     std::chrono::milliseconds search_interval{150};
     /// A primary that failed for this long is suspected.
     std::chrono::milliseconds suspicion_delay{300};
+    /// Reports and claims are followed for this long after the last part in a promotion: as long as
+    /// a claim of the duty may last.
+    std::chrono::milliseconds promotion_follow_time{3000};
     /// A failed report of a primary is repeated after this time.
     std::chrono::milliseconds publish_retry{400};
     /// Time within which a lost primary is usually replaced: detection, reports, claim and the
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -129,6 +129,11 @@
     core::host_id reporter;
 };
 
+/// @brief The complete list of reports.
+struct suspicions_listed {
+    std::vector<suspicion_report> reports;
+};
+
 struct suspicion_reported {
     suspicion_report report;
 };
@@ -192,7 +197,7 @@
 using event = std::variant<session_opened, statement_received, session_closed, target_connected,
                            target_replied, target_disconnected, configuration_changed,
                            targets_listed, target_changed, target_removed, hosts_listed,
-                           host_joined, host_left, suspicion_reported, suspicion_withdrawn,
+                           host_joined, host_left, suspicions_listed, suspicion_reported, suspicion_withdrawn,
                            suspicion_publish_failed, duty_claimed, duty_taken, duty_released,
                            promotion_answered, registry_reachable, stop_requested, timer_expired>;
 
--- a/packages/proxy/include/lovagemoor/proxy/promotion/promoter.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/promotion/promoter.hpp
@@ -118,6 +118,8 @@
     /// @return True if this host may promote now.
     [[nodiscard]] bool holds_duty(core::time_point now) const;
 
+    [[nodiscard]] bool claims_or_holds_duty(core::time_point now) const;
+
 private:
     enum class stage : std::uint8_t { inspecting, calling, taking_over };
 
--- a/packages/proxy/src/engine/engine_promotion.cpp
+++ b/packages/proxy/src/engine/engine_promotion.cpp
@@ -103,11 +103,10 @@
 
 bool engine::may_promote_now(const core::service_id& id, const service_state& state,
                              core::time_point needed_since) const {
-    // Hosts take turns in an order that differs by service, so that they rarely race.
+    // Observers take turns in an order that differs by service, so that they rarely race.
     std::vector<core::host_id> order;
-    for (const auto& [host, known] : hosts_) {
-        const bool eligible = state.reporters.empty() || state.reporters.contains(host);
-        if (!known.left_at.has_value() && eligible) {
+    for (const core::host_id& host : state.observers) {
+        if (state.reporters.empty() || state.reporters.contains(host)) {
             order.push_back(host);
         }
     }
@@ -157,11 +156,38 @@
     const std::optional<core::target_id>& primary = state.view.primary();
     const target_state* const target = primary.has_value() ? pool_.find(*primary) : nullptr;
     const bool draining = target != nullptr && target->record.draining;
+    if (draining) {
+        choose_observers_of(id, state);
+    }
     return draining && (holds_duty || may_promote_now(id, state, target->draining_since))
                ? promotion_cause::primary_draining
                : promotion_cause::none;
 }
 
+void engine::keep_promotion_interest() {
+    bool part = promoter_.claims_or_holds_duty(now_);
+    for (const auto& [id, state] : services_) {
+        const std::optional<core::target_id>& primary = state.view.primary();
+        const target_state* const target = primary.has_value() ? pool_.find(*primary) : nullptr;
+        const bool draining = target != nullptr && target->record.draining;
+        part = part || state.suspicion_published ||
+               (draining && state.observers.contains(settings_.host));
+    }
+    if (part) {
+        promotion_interest_ = now_;
+    }
+    const bool follows = promotion_interest_.has_value() &&
+                         now_ - *promotion_interest_ <= settings_.promotion_follow_time;
+    if (follows != follows_promotions_) {
+        follows_promotions_ = follows;
+        out_.emplace_back(follow_promotions{follows});
+        if (!follows) {
+            // Their withdrawal would go unnoticed.
+            forget_reports();
+        }
+    }
+}
+
 void engine::run_promoter() {
     if (stopping_since_.has_value()) {
         return;
@@ -195,6 +221,7 @@
                    },
                    step);
     }
+    keep_promotion_interest();
 }
 
 void engine::start_inspections() {
@@ -221,6 +248,21 @@
     inspections_ = std::move(waiting);
 }
 
+void engine::forget_reports() {
+    for (auto& [id, state] : services_) {
+        std::erase_if(state.reporters, [&](const auto& entry) {
+            return entry.first != settings_.host || !state.suspicion_published;
+        });
+    }
+}
+
+void engine::on(const suspicions_listed& input) {
+    forget_reports();
+    for (const suspicion_report& report : input.reports) {
+        on(suspicion_reported{report});
+    }
+}
+
 void engine::on(const suspicion_reported& input) {
     service_state& state = services_[input.report.service];
     if (input.report.reporter == settings_.host && !state.suspicion_published) {
--- a/packages/proxy/src/promotion/promoter.cpp
+++ b/packages/proxy/src/promotion/promoter.cpp
@@ -23,6 +23,10 @@
     return token_.has_value() && now + settings_.claim_margin < token_until_;
 }
 
+bool promoter::claims_or_holds_duty(core::time_point now) const {
+    return claiming_ || holds_duty(now);
+}
+
 void promoter::start(core::time_point now, const service_outlook& outlook,
                      std::vector<promoter_step>& steps) {
     if (!holds_duty(now)) {
--- a/packages/proxy/test/engine/engine_test.cpp
+++ b/packages/proxy/test/engine/engine_test.cpp
@@ -273,6 +273,32 @@
     BOOST_TEST(cluster.performed<promote_target>().size() == 1U);
 }
 
+// Found on the grown deployments: each report and claim woke the watches of all hosts. Reports that
+// were not followed must not count later.
+BOOST_AUTO_TEST_CASE(reports_are_followed_only_for_a_part_in_a_promotion) {
+    fake_cluster cluster = started();
+    cluster.send(cluster.open("latest"), kind::write, "x");
+    cluster.run_for(100ms);
+    BOOST_TEST(cluster.performed<follow_promotions>().empty());
+    cluster.targets.at(t0).reachable = false;
+    cluster.run_for(1500ms);
+    BOOST_REQUIRE(cluster.performed<follow_promotions>().size() == 1U);
+    BOOST_TEST(cluster.performed<follow_promotions>().back().active);
+    for (const char* const host : {"host-2", "host-3"}) {
+        cluster.apply(suspicion_reported{{core::service_id{"s"}, t0, core::host_id{host}}});
+    }
+    cluster.targets.at(t0).reachable = true;
+    cluster.apply(duty_claimed{duty_claim_result::held_by_other, 0, 0ms});
+    cluster.run_for(5s);
+    BOOST_REQUIRE(cluster.performed<follow_promotions>().size() == 2U);
+    BOOST_TEST(!cluster.performed<follow_promotions>().back().active);
+    const std::size_t claims = cluster.performed<claim_duty>().size();
+    cluster.targets.at(t0).reachable = false;
+    cluster.run_for(2s);
+    BOOST_TEST(cluster.performed<publish_suspicion>().size() == 2U);
+    BOOST_TEST(cluster.performed<claim_duty>().size() == claims);
+}
+
 // Guards against waiting for the notice to run out: a draining primary is replaced at once.
 BOOST_AUTO_TEST_CASE(a_draining_primary_is_replaced) {
     fake_cluster cluster = started();
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -65,6 +65,11 @@
     return result;
 }
 
+std::shared_ptr<proxy::registry_follower> make_follower(std::string_view prefix,
+                                                        proxy::follower_settings settings) {
+    return std::make_shared<proxy::registry_follower>(std::string{prefix}, settings);
+}
+
 std::string last_part(const std::string& key) {
     return key.substr(key.rfind('/') + 1);
 }
@@ -87,16 +92,14 @@
           context_, settings.ready_listen,
           [this](const gateway::http_server::request& request) { return answer_request(request); }},
       store_{context_, settings.registry_address, settings.call_timeout},
-      configuration_follower_{std::string{platform_adapter::configuration_key},
-                              {.watch_pause = internal::configuration_watch_pause,
-                               .watch_pause_max = internal::watch_pause_max}},
-      targets_follower_{std::string{platform_adapter::targets_prefix},
-                        {.watch_pause = internal::targets_watch_pause,
-                         .watch_pause_max = internal::watch_pause_max}},
-      hosts_follower_{std::string{internal::hosts_prefix},
-                      {.poll_interval = internal::hosts_poll_interval}},
-      promotion_follower_{std::string{internal::promotion_prefix},
-                          {.watch_pause = internal::reports_watch_pause}},
+      configuration_follower_{internal::make_follower(
+          platform_adapter::configuration_key, {.watch_pause = internal::configuration_watch_pause,
+                                                .watch_pause_max = internal::watch_pause_max})},
+      targets_follower_{internal::make_follower(platform_adapter::targets_prefix,
+                                                {.watch_pause = internal::targets_watch_pause,
+                                                 .watch_pause_max = internal::watch_pause_max})},
+      hosts_follower_{internal::make_follower(internal::hosts_prefix,
+                                              {.poll_interval = internal::hosts_poll_interval})},
       registration_{std::string{internal::hosts_prefix} + settings.id.value, settings.domain.value,
                     internal::registration_duration},
       timer_{context_},
@@ -217,7 +220,9 @@
     follow(configuration_follower_);
     follow(targets_follower_);
     follow(hosts_follower_);
-    follow(promotion_follower_);
+    if (promotion_follower_ != nullptr) {
+        follow(promotion_follower_);
+    }
     registry_timer_.expires_after(internal::registry_interval);
     registry_timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
@@ -248,57 +253,70 @@
                *call);
 }
 
-void session_host::follow(proxy::registry_follower& follower) {
+void session_host::follow(const std::shared_ptr<proxy::registry_follower>& follower) {
     // While the registry is out of reach, one follower tries to reach it for all of them.
-    if (&follower != &configuration_follower_ && !follower.connected() &&
-        !configuration_follower_.connected()) {
+    if (follower != configuration_follower_ && !follower->connected() &&
+        !configuration_follower_->connected()) {
         return;
     }
-    const std::optional<proxy::registry_follower::call> call = follower.next_call(internal::now());
+    const std::optional<proxy::registry_follower::call> call =
+        follower->next_call(internal::now());
     if (!call.has_value()) {
         return;
     }
-    const bool was_connected = follower.connected();
-    const auto after = [this, &follower,
-                        was_connected](const proxy::registry_follower::update& update) {
-        if (follower.connected() != was_connected) {
-            log(core::log_event::level::warning,
-                was_connected ? "registry_lost" : "registry_regained",
-                {{"prefix", follower.prefix()}});
-            handle(proxy::registry_reachable{promotion_follower_.connected()});
+    // Results for a follower that was dropped meanwhile are dropped with it.
+    const auto after = [this, weak = std::weak_ptr<proxy::registry_follower>{follower}](
+                           const auto& digest) {
+        const std::shared_ptr<proxy::registry_follower> source = weak.lock();
+        if (source == nullptr) {
+            return;
         }
-        apply(follower, update);
-        follow(follower);
+        const bool was_connected = source->connected();
+        const proxy::registry_follower::update update = digest(*source);
+        note_connection(*source, was_connected);
+        apply(*source, update);
+        follow(source);
     };
     std::visit(core::overloaded{
                    [&](const proxy::list_items& value) {
-                       store_.list(value, [&follower, after](const proxy::item_page& page) {
-                           after(follower.on_page(internal::now(), page));
+                       store_.list(value, [after](const proxy::item_page& page) {
+                           after([&page](proxy::registry_follower& source) {
+                               return source.on_page(internal::now(), page);
+                           });
                        });
                    },
                    [&](const proxy::watch_items& value) {
-                       store_.watch(value, [&follower, after](const proxy::item_changes& changes) {
-                           after(follower.on_changes(internal::now(), changes));
+                       store_.watch(value, [after](const proxy::item_changes& changes) {
+                           after([&changes](proxy::registry_follower& source) {
+                               return source.on_changes(internal::now(), changes);
+                           });
                        });
                    },
                },
                *call);
 }
 
+void session_host::note_connection(const proxy::registry_follower& follower, bool was_connected) {
+    if (follower.connected() == was_connected) {
+        return;
+    }
+    log(core::log_event::level::warning, was_connected ? "registry_lost" : "registry_regained",
+        {{"prefix", follower.prefix()}});
+    handle(proxy::registry_reachable{configuration_follower_->connected()});
+}
+
 void session_host::apply(const proxy::registry_follower& follower,
                          const proxy::registry_follower::update& update) {
-    if (&follower == &configuration_follower_) {
+    if (&follower == configuration_follower_.get()) {
         for (const proxy::item_change& change : update.changes) {
             apply_configuration(change);
         }
-    } else if (&follower == &targets_follower_) {
+    } else if (&follower == targets_follower_.get()) {
         apply_targets(update);
-    } else if (&follower == &hosts_follower_) {
+    } else if (&follower == hosts_follower_.get()) {
         apply_hosts(update);
     } else {
-        for (const proxy::item_change& change : update.changes) {
-            apply_promotion(change);
-        }
+        apply_promotions(update);
     }
 }
 
@@ -360,27 +378,52 @@
     handle(listed);
 }
 
-void session_host::apply_promotion(const proxy::item_change& change) {
-    const std::string& key = change.item.key;
-    if (key == internal::duty_key) {
-        if (change.removed) {
-            handle(proxy::duty_released{change.item.revision});
-        } else if (change.item.value != settings_.id.value) {
-            handle(proxy::duty_taken{change.item.revision});
-        } else if (claim_sent_.has_value()) {
-            // The answer to the claim was lost.
-            finish_claim({proxy::duty_claim_result::acquired, change.item.revision, {}});
+void session_host::apply_promotions(const proxy::registry_follower::update& update) {
+    proxy::suspicions_listed listed;
+    for (const proxy::item_change& change : update.changes) {
+        const std::string& key = change.item.key;
+        if (key == internal::duty_key) {
+            apply_duty(change);
+        }
+        if (!key.starts_with(internal::suspicions_prefix)) {
+            continue;
         }
-    } else if (key.starts_with(internal::suspicions_prefix)) {
         const core::host_id host{internal::last_part(key)};
         const std::size_t start = internal::suspicions_prefix.size();
         const core::service_id service{key.substr(start, key.rfind('/') - start)};
-        if (change.removed) {
+        const proxy::suspicion_report report{service, core::target_id{change.item.value}, host};
+        if (update.complete) {
+            listed.reports.push_back(report);
+        } else if (change.removed) {
             handle(proxy::suspicion_withdrawn{service, host});
         } else {
-            handle(proxy::suspicion_reported{{service, core::target_id{change.item.value}, host}});
+            handle(proxy::suspicion_reported{report});
         }
     }
+    if (update.complete) {
+        handle(listed);
+    }
+}
+
+void session_host::apply_duty(const proxy::item_change& change) {
+    if (change.removed) {
+        handle(proxy::duty_released{change.item.revision});
+    } else if (change.item.value != settings_.id.value) {
+        handle(proxy::duty_taken{change.item.revision});
+    } else if (claim_sent_.has_value()) {
+        // The answer to the claim was lost.
+        finish_claim({proxy::duty_claim_result::acquired, change.item.revision, {}});
+    }
+}
+
+void session_host::perform(const proxy::follow_promotions& action) {
+    if (!action.active) {
+        promotion_follower_.reset();
+        return;
+    }
+    promotion_follower_ = internal::make_follower(internal::promotion_prefix,
+                                                  {.watch_pause = internal::reports_watch_pause});
+    follow(promotion_follower_);
 }
 
 void session_host::perform(const proxy::claim_duty& action) {
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -15,6 +15,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -33,6 +34,7 @@
 
 private:
     void handle(const proxy::event& input);
+    void perform(const proxy::follow_promotions& action);
     void perform(const proxy::claim_duty& action);
     void perform(const proxy::promote_target& action);
     void perform(const proxy::publish_suspicion& action);
@@ -42,13 +44,15 @@
     void wait_for_signals();
     void reload();
 
-    void follow(proxy::registry_follower& follower);
+    void follow(const std::shared_ptr<proxy::registry_follower>& follower);
+    void note_connection(const proxy::registry_follower& follower, bool was_connected);
     void apply(const proxy::registry_follower& follower,
                const proxy::registry_follower::update& update);
     void apply_configuration(const proxy::item_change& change);
     void apply_targets(const proxy::registry_follower::update& update);
     void apply_hosts(const proxy::registry_follower::update& update);
-    void apply_promotion(const proxy::item_change& change);
+    void apply_promotions(const proxy::registry_follower::update& update);
+    void apply_duty(const proxy::item_change& change);
     void finish_claim(const proxy::duty_claimed& result);
     void keep_registration();
     void keep_registry();
@@ -69,10 +73,11 @@
     std::optional<gateway::http_server> metrics_server_;
     platform_adapter::store_client store_;
     std::optional<platform_adapter::promotion_client> promotions_;
-    proxy::registry_follower configuration_follower_;
-    proxy::registry_follower targets_follower_;
-    proxy::registry_follower hosts_follower_;
-    proxy::registry_follower promotion_follower_;
+    std::shared_ptr<proxy::registry_follower> configuration_follower_;
+    std::shared_ptr<proxy::registry_follower> targets_follower_;
+    std::shared_ptr<proxy::registry_follower> hosts_follower_;
+    /// Nothing while this host has no part in a promotion.
+    std::shared_ptr<proxy::registry_follower> promotion_follower_;
     proxy::lease_keeper registration_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer registry_timer_;
