Add a fault soak of real hosts on loopback

Faults come from outside, in series and overlapping: hosts killed, paused, stopped, reloaded; relays that delay, reset, silence one way or both, or refuse; the store silent for all; databases that crash, are busy, lag or lose answers; configurations. Checked while it runs: STALE, TWICE, REFUSED, PINNED, UNASKED, MIXED, ONE, LOST in planned stops, answers that never come, processes that end by themselves; at the end recovery within 12 s and the end of stopped hosts within their grace.

The stand-in store now has leases that end and watches that wait; the HTTP server passes headers to its handler and can answer later.

--- a/packages/gateway/include/lovagemoor/gateway/http_server.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/http_server.hpp
@@ -3,13 +3,15 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 
 namespace lovagemoor::gateway {
 
-/// @brief Answers HTTP/1.1 requests, each at once.
+/// @brief Answers HTTP/1.1 requests.
 class http_server {
 public:
     struct request {
@@ -17,12 +19,16 @@
         /// Path and query.
         std::string target;
         std::string body;
+        /// By name in lower case.
+        std::map<std::string, std::string> headers;
     };
 
     struct answer {
         unsigned status = 200;
         std::string content_type = "text/plain";
         std::string body;
+        /// The answer is sent after this time.
+        std::chrono::milliseconds delay{0};
     };
 
     using handler = std::function<answer(const request&)>;
--- a/packages/gateway/src/http_server.cpp
+++ b/packages/gateway/src/http_server.cpp
@@ -2,6 +2,8 @@
 
 #include "address.hpp"
 
+#include <boost/algorithm/string/case_conv.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -31,7 +33,9 @@
 class server_connection : public std::enable_shared_from_this<server_connection> {
 public:
     server_connection(boost::asio::ip::tcp::socket socket, http_server::handler respond)
-        : stream_{std::move(socket)}, respond_{std::move(respond)} {}
+        : stream_{std::move(socket)},
+          timer_{stream_.get_executor()},
+          respond_{std::move(respond)} {}
 
     void read() {
         parser_.emplace();
@@ -40,16 +44,38 @@
             stream_, buffer_, *parser_,
             [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
                 if (!error) {
-                    self->write();
+                    self->respond();
                 }
             });
     }
 
 private:
-    void write() {
+    void respond() {
+        const http::request<http::string_body>& request = parser_->get();
+        http_server::request decoded{std::string{request.method_string()},
+                                     std::string{request.target()},
+                                     request.body(),
+                                     {}};
+        for (const auto& field : request) {
+            decoded.headers[boost::algorithm::to_lower_copy(std::string{field.name_string()})] =
+                std::string{field.value()};
+        }
+        const http_server::answer given = respond_(decoded);
+        if (given.delay.count() == 0) {
+            write(given);
+            return;
+        }
+        timer_.expires_after(given.delay);
+        timer_.async_wait(
+            [self = shared_from_this(), given](const boost::system::error_code& error) {
+                if (!error) {
+                    self->write(given);
+                }
+            });
+    }
+
+    void write(const http_server::answer& given) {
         const http::request<http::string_body>& request = parser_->get();
-        const http_server::answer given = respond_(
-            {std::string{request.method_string()}, std::string{request.target()}, request.body()});
         response_ = {};
         response_.version(request.version());
         response_.result(given.status);
@@ -67,6 +93,7 @@
     }
 
     boost::beast::tcp_stream stream_;
+    boost::asio::steady_timer timer_;
     http_server::handler respond_;
     boost::beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
--- /dev/null
+++ b/soak/src/fault_link.cpp
@@ -0,0 +1,148 @@
+#include "fault_link.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <utility>
+
+namespace lovagemoor::soak {
+
+using boost::asio::ip::tcp;
+
+namespace internal {
+
+namespace {
+
+/// Pause between looks whether a silenced direction carries again.
+constexpr std::chrono::milliseconds silence_interval{20};
+
+} // namespace
+
+} // namespace internal
+
+/// @brief One connection; each direction carries one piece at a time.
+class fault_link::relayed : public std::enable_shared_from_this<fault_link::relayed> {
+public:
+    relayed(boost::asio::io_context& context, tcp::socket incoming,
+            std::shared_ptr<const link_fault> fault)
+        : fault_{std::move(fault)},
+          forward_{std::move(incoming), boost::asio::steady_timer{context}, {}},
+          backward_{tcp::socket{context}, boost::asio::steady_timer{context}, {}} {}
+
+    void start(std::uint16_t destination) {
+        backward_.from.async_connect(
+            {boost::asio::ip::make_address("127.0.0.1"), destination},
+            [self = shared_from_this()](const boost::system::error_code& error) {
+                if (error) {
+                    self->reset();
+                    return;
+                }
+                boost::system::error_code ignored;
+                self->forward_.from.set_option(tcp::no_delay{true}, ignored);
+                self->backward_.from.set_option(tcp::no_delay{true}, ignored);
+                self->read(self->forward_, self->backward_);
+                self->read(self->backward_, self->forward_);
+            });
+    }
+
+    void reset() {
+        for (direction* const way : {&forward_, &backward_}) {
+            boost::system::error_code ignored;
+            way->from.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
+            way->from.close(ignored);
+        }
+    }
+
+private:
+    struct direction {
+        tcp::socket from;
+        boost::asio::steady_timer timer;
+        std::array<char, 65536> piece;
+    };
+
+    void read(direction& way, direction& other) {
+        way.from.async_read_some(boost::asio::buffer(way.piece),
+                                 [self = shared_from_this(), &way, &other](
+                                     const boost::system::error_code& error, std::size_t size) {
+                                     if (error) {
+                                         self->reset();
+                                         return;
+                                     }
+                                     self->carry(way, other, size, self->fault_->delay);
+                                 });
+    }
+
+    void carry(direction& way, direction& other, std::size_t size,
+               std::chrono::milliseconds pause) {
+        way.timer.expires_after(pause);
+        way.timer.async_wait([self = shared_from_this(), &way, &other,
+                              size](const boost::system::error_code& error) {
+            if (error) {
+                return;
+            }
+            const bool silent = &way == &self->forward_ ? self->fault_->silent_forward
+                                                        : self->fault_->silent_backward;
+            if (silent) {
+                self->carry(way, other, size, internal::silence_interval);
+                return;
+            }
+            boost::asio::async_write(
+                other.from, boost::asio::buffer(way.piece.data(), size),
+                [self, &way, &other](const boost::system::error_code& failure, std::size_t) {
+                    if (failure) {
+                        self->reset();
+                    } else {
+                        self->read(way, other);
+                    }
+                });
+        });
+    }
+
+    std::shared_ptr<const link_fault> fault_;
+    direction forward_;
+    direction backward_;
+};
+
+fault_link::fault_link(boost::asio::io_context& context, std::uint16_t destination)
+    : context_{context},
+      acceptor_{context, {boost::asio::ip::make_address("127.0.0.1"), 0}},
+      destination_{destination},
+      fault_{std::make_shared<link_fault>()} {
+    accept();
+}
+
+std::string fault_link::address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+void fault_link::apply(const link_fault& fault) {
+    *fault_ = fault;
+}
+
+void fault_link::reset() {
+    for (const std::weak_ptr<relayed>& connection : std::exchange(connections_, {})) {
+        if (const std::shared_ptr<relayed> open = connection.lock()) {
+            open->reset();
+        }
+    }
+}
+
+void fault_link::accept() {
+    acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+        if (error) {
+            return;
+        }
+        const auto connection = std::make_shared<relayed>(context_, std::move(socket), fault_);
+        if (fault_->refuses) {
+            connection->reset();
+        } else {
+            connection->start(destination_);
+            connections_.push_back(connection);
+        }
+        accept();
+    });
+}
+
+} // namespace lovagemoor::soak
--- /dev/null
+++ b/soak/src/soak_run.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "caller.hpp"
+#include "fault_link.hpp"
+#include "ledger.hpp"
+#include "target_group.hpp"
+
+#include <lovagemoor/session_standins/standin_store.hpp>
+#include <lovagemoor/testbed/child_process.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace lovagemoor::soak {
+
+/// @brief Hosts in processes of their own between callers and stand-ins, with random faults.
+class soak_run {
+public:
+    soak_run(std::uint32_t seed, std::chrono::seconds length);
+    soak_run(const soak_run&) = delete;
+    soak_run& operator=(const soak_run&) = delete;
+    soak_run(soak_run&&) = delete;
+    soak_run& operator=(soak_run&&) = delete;
+    ~soak_run();
+
+    /// @brief Plays the run and prints what was found.
+    /// @return True if every promise was kept.
+    [[nodiscard]] bool play();
+
+private:
+    struct host {
+        std::string id;
+        std::uint16_t caller_port = 0;
+        std::uint16_t ready_port = 0;
+        std::unique_ptr<fault_link> store_link;
+        std::optional<testbed::child_process> process;
+        bool paused = false;
+        bool stopping = false;
+        clock::time_point stopping_since;
+        /// Killed by the run; its end is no finding.
+        bool killed = false;
+        /// End of the last kill, pause or stop.
+        clock::time_point disturbed;
+    };
+
+    struct named_fault {
+        const char* name;
+        std::function<void()> inject;
+    };
+
+    void configure();
+    void start_host(host& started);
+    void watch_processes();
+    void schedule_fault();
+    void kill_host(host& victim);
+    void pause_host(host& victim);
+    void stop_host(host& victim);
+    void harm_link(fault_link& link);
+    void heal();
+    void after(std::chrono::milliseconds delay, std::function<void()> action);
+    void stop_all();
+    void note(const std::string& what);
+    [[nodiscard]] std::size_t draw(std::size_t below);
+    [[nodiscard]] std::chrono::milliseconds draw_time(int from_ms, int to_ms);
+    [[nodiscard]] host& any_host();
+
+    std::uint32_t seed_;
+    std::chrono::seconds length_;
+    std::mt19937 random_;
+    std::filesystem::path directory_;
+    boost::asio::io_context context_;
+    session_standins::standin_store store_;
+    ledger promises_;
+    target_group targets_;
+    std::vector<std::unique_ptr<host>> hosts_;
+    std::vector<std::unique_ptr<caller>> callers_;
+    std::vector<named_fault> faults_;
+    std::int64_t version_ = 0;
+    bool faulty_ = true;
+    /// Hosts that end are not started again.
+    bool ending_ = false;
+    clock::time_point started_;
+};
+
+} // namespace lovagemoor::soak
--- /dev/null
+++ b/soak/src/target_group.hpp
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "fault_link.hpp"
+#include "ledger.hpp"
+
+#include <lovagemoor/gateway/http_server.hpp>
+#include <lovagemoor/gateway/line_stream.hpp>
+#include <lovagemoor/session_standins/standin_store.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace lovagemoor::soak {
+
+/// @brief A primary and two replicas with the statement protocol, and the promotion endpoint.
+///
+/// Checks each statement that it runs against the ledger.
+class target_group {
+public:
+    static constexpr std::size_t size = 3;
+
+    target_group(boost::asio::io_context& context, session_standins::standin_store& store,
+                 ledger& promises);
+
+    [[nodiscard]] std::string promotion_address() const;
+
+    [[nodiscard]] fault_link& link(std::size_t index) { return *members_[index].link; }
+
+    /// @name Faults
+    /// @{
+    void set_lag(std::size_t index, std::chrono::milliseconds lag) { members_[index].lag = lag; }
+
+    void set_busy(std::size_t index, bool busy) { members_[index].busy = busy; }
+
+    void lose_answers(std::size_t index, unsigned count) { members_[index].lost_answers = count; }
+
+    void crash(std::size_t index);
+    void restart(std::size_t index);
+    /// @}
+
+    /// @brief The caller of a write or commit was told that it succeeded.
+    void acknowledge(const std::string& statement_id);
+
+    /// @brief Checks that no refused statement is kept.
+    void check_refusals() const;
+
+    [[nodiscard]] unsigned promotions() const noexcept { return promotions_; }
+
+private:
+    struct entry {
+        std::uint64_t term = 0;
+        std::string write_id;
+        /// The statement whose answer acknowledges the write.
+        std::string commit_id;
+        std::string item;
+        std::string value;
+        clock::time_point at;
+    };
+
+    struct session {
+        std::shared_ptr<gateway::line_stream> stream;
+        std::map<std::string, std::string> values;
+        bool in_transaction = false;
+        bool writable = false;
+        /// The caller whose transaction is open; 0 before its first statement.
+        std::uint64_t owner = 0;
+        std::vector<entry> uncommitted;
+    };
+
+    struct member {
+        std::string id;
+        std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
+        std::unique_ptr<fault_link> link;
+        std::map<std::uint64_t, session> sessions;
+        std::vector<entry> log;
+        std::chrono::milliseconds lag{5};
+        bool busy = false;
+        bool crashed = false;
+        unsigned lost_answers = 0;
+    };
+
+    void accept(std::size_t index);
+    void register_members();
+    void replicate();
+    gateway::http_server::answer promote(const gateway::http_server::request& request);
+    void finish_promotion(std::size_t chosen);
+    void on_line(std::size_t index, std::uint64_t id, std::string_view line);
+    std::string run(std::size_t index, session& over, const std::string& id, std::string text);
+    std::string run_statement(std::size_t index, session& over, const std::string& id,
+                              const std::string& text);
+    std::string read(member& at, const std::string& id, const std::string& item);
+    std::string write(std::size_t index, session& over, const entry& written);
+    std::string commit(std::size_t index, session& over, const std::string& id);
+    void append(member& at, const entry& written);
+    void check_pinned(session& over, const std::string& id, const std::string& text);
+    void check_fresh(const member& at, const std::string& id);
+    [[nodiscard]] std::string position_of(const member& at) const;
+
+    boost::asio::io_context& context_;
+    session_standins::standin_store& store_;
+    ledger& promises_;
+    std::array<member, size> members_;
+    std::size_t primary_ = 0;
+    std::uint64_t term_ = 1;
+    std::uint64_t highest_token_ = 0;
+    std::map<std::uint64_t, std::string> holders_;
+    unsigned promotions_ = 0;
+    std::uint64_t last_session_ = 0;
+    boost::asio::steady_timer replication_;
+    gateway::http_server promotion_server_;
+};
+
+} // namespace lovagemoor::soak
--- a/standins/session/include/lovagemoor/session_standins/standin_store.hpp
+++ b/standins/session/include/lovagemoor/session_standins/standin_store.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -12,7 +13,7 @@
 
 /// @brief Test double of the platform's store: items, leases and watches in memory.
 ///
-/// Watches answer at once. Leases never end.
+/// Watches without changes are answered empty after a short time. Leases end when their time is up.
 class standin_store {
 public:
     explicit standin_store(boost::asio::io_context& context);
@@ -22,14 +23,29 @@
     /// @brief Writes an item as its operator or target would.
     void put(const std::string& key, const std::string& value);
 
-    [[nodiscard]] bool contains(const std::string& key) const { return items_.contains(key); }
+    [[nodiscard]] bool contains(const std::string& key) const;
 
 private:
     struct item {
+        /// Base64, as it is sent.
         std::string value;
+        /// Its last change, also its removal.
         std::uint64_t revision = 0;
+        /// 0 for none.
+        std::uint64_t lease = 0;
+        bool removed = false;
     };
 
+    struct lease {
+        std::chrono::milliseconds duration{0};
+        std::chrono::steady_clock::time_point end;
+    };
+
+    void end_leases();
+    void remove(item& held);
+    [[nodiscard]] gateway::http_server::answer grant(const std::string& body);
+    [[nodiscard]] gateway::http_server::answer renew(const std::string& id);
+
     [[nodiscard]] gateway::http_server::answer
     respond(const gateway::http_server::request& request);
     [[nodiscard]] gateway::http_server::answer list(const std::string& prefix) const;
@@ -39,6 +55,7 @@
 
     std::map<std::string, item> items_;
     std::uint64_t revision_ = 1;
+    std::map<std::uint64_t, lease> leases_;
     std::uint64_t last_lease_ = 0;
     gateway::http_server server_;
 };
