Keep watches short after failures of the store

Ruled out: the growing pause between watches (at most 0.8 s). Change: a watch after a failure waits 1 s at most; a renewal of the registration that fails restarts the waiting watches, which an outage may have lost as well. Tests: a_watch_after_a_failure_is_short, a_restarted_follower_continues_with_a_short_watch.

--- a/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
@@ -103,10 +103,11 @@
 /// @brief All sessions have ended; the process may exit.
 struct stop_process {};
 
-using action = std::variant<accept_session, reject_session, answer_statement, close_session,
-                            open_target, send_commands, close_target, publish_suspicion,
-                            withdraw_suspicion, follow_promotions, claim_duty, promote_target, set_ready, stop_process,
-                            core::log_event, core::count_metric, core::observe_duration>;
+using action =
+    std::variant<accept_session, reject_session, answer_statement, close_session, open_target,
+                 send_commands, close_target, publish_suspicion, withdraw_suspicion,
+                 follow_promotions, claim_duty, promote_target, set_ready, stop_process,
+                 core::log_event, core::count_metric, core::observe_duration>;
 
 using action_list = std::vector<action>;
 
--- a/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine_settings.hpp
@@ -10,8 +10,8 @@
 struct engine_settings {
     core::host_id host;
     core::domain_id domain;
-    /// Longest wait for a target's machine to accept a connection; a machine that is reached answers
-    /// within a few milliseconds.
+    /// Longest wait for a target's machine to accept a connection; a machine that is reached
+    /// answers within a few milliseconds.
     std::chrono::milliseconds connect_timeout{400};
     /// Longest wait for a target's greeting after that. A greeting takes one of the target's slots
     /// and waits for it behind others: up to 0.9 s when 124 hosts connect at once (27 ms, 4 slots).
--- a/packages/proxy/include/lovagemoor/proxy/registry/registry_follower.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/registry_follower.hpp
@@ -16,6 +16,8 @@
     /// Longest time that a watch waits; each watch is a paid call. Silent connections are found by
     /// keep-alive probes.
     std::chrono::milliseconds watch_wait{25000};
+    /// The same after a failure: a registry that has just failed may lose the call without a sign.
+    std::chrono::milliseconds doubtful_watch_wait{1000};
     /// Pause after changes before the next watch, so that changes that come together take one call.
     std::chrono::milliseconds watch_pause{0};
     /// The pause doubles up to this while changes follow each other within this time.
@@ -42,6 +44,12 @@
 
     explicit registry_follower(std::string prefix, follower_settings settings = {});
 
+    /// @brief Gives up the call under way, as its result may be lost. Other calls to the registry
+    /// failed meanwhile.
+    /// @return A follower that continues from the same revision; results of the former call must
+    /// not be given to it.
+    [[nodiscard]] registry_follower restarted(core::time_point now) const;
+
     /// @return The call to make now; nothing while one is under way or until retry_at().
     [[nodiscard]] std::optional<call> next_call(core::time_point now);
 
--- a/packages/proxy/src/engine/engine_promotion.cpp
+++ b/packages/proxy/src/engine/engine_promotion.cpp
@@ -250,8 +250,9 @@
 
 void engine::forget_reports() {
     for (auto& [id, state] : services_) {
+        const bool own_stands = state.suspicion_published;
         std::erase_if(state.reporters, [&](const auto& entry) {
-            return entry.first != settings_.host || !state.suspicion_published;
+            return entry.first != settings_.host || !own_stands;
         });
     }
 }
--- a/packages/proxy/src/registry/registry_follower.cpp
+++ b/packages/proxy/src/registry/registry_follower.cpp
@@ -16,7 +16,15 @@
     if (listing_) {
         return list_items{prefix_, after_key_, polls()};
     }
-    return watch_items{prefix_, revision_, settings_.watch_wait};
+    return watch_items{prefix_, revision_,
+                       connected() ? settings_.watch_wait : settings_.doubtful_watch_wait};
+}
+
+registry_follower registry_follower::restarted(core::time_point now) const {
+    registry_follower next = *this;
+    next.under_way_ = false;
+    next.on_failure(now);
+    return next;
 }
 
 registry_follower::update registry_follower::on_page(core::time_point now, const item_page& page) {
--- a/packages/proxy/test/engine/engine_test.cpp
+++ b/packages/proxy/test/engine/engine_test.cpp
@@ -399,8 +399,7 @@
     cluster.targets.at(t0).full = false;
     cluster.run_for(800ms);
     const auto opened = [&] {
-        return cluster.connections_to(t0) + cluster.connections_to(t1) +
-               cluster.connections_to(t2);
+        return cluster.connections_to(t0) + cluster.connections_to(t1) + cluster.connections_to(t2);
     };
     const std::size_t while_settling = opened();
     BOOST_TEST(while_settling < 3U);
--- a/packages/proxy/test/engine/fake_cluster.hpp
+++ b/packages/proxy/test/engine/fake_cluster.hpp
@@ -337,8 +337,8 @@
             if (found == targets.end() || found->second.crashed) {
                 apply(target_disconnected{request.connection, target_close_reason::refused});
             } else if (found->second.full) {
-                apply(target_disconnected{request.connection,
-                                          target_close_reason::connection_limit});
+                apply(
+                    target_disconnected{request.connection, target_close_reason::connection_limit});
             } else if (!found->second.reachable) {
                 after(request.connect_timeout, [this, request] {
                     apply(target_disconnected{request.connection, target_close_reason::timed_out});
--- a/packages/proxy/test/pool/connection_share_test.cpp
+++ b/packages/proxy/test/pool/connection_share_test.cpp
@@ -62,8 +62,8 @@
         unsigned kept = 0;
         for (int index = 0; index < all_hosts; ++index) {
             const core::host_id host{"host-" + std::to_string(index)};
-            kept += kept_connections({accepted, all_hosts, 6},
-                                     {false, 0, place_among_hosts(host, id)});
+            kept +=
+                kept_connections({accepted, all_hosts, 6}, {false, 0, place_among_hosts(host, id)});
         }
         BOOST_TEST(kept < accepted);
         BOOST_TEST(kept > accepted / 2);
--- a/packages/proxy/test/promotion/promoter_test.cpp
+++ b/packages/proxy/test/promotion/promoter_test.cpp
@@ -93,8 +93,8 @@
 
 } // namespace
 
-// Found on halgeld-pool-grown: while one host held the duty, up to 111 others a second claimed it in
-// vain, each with two calls to the registry.
+// Found on halgeld-pool-grown: while one host held the duty, up to 111 others a second claimed it
+// in vain, each with two calls to the registry.
 BOOST_DATA_TEST_CASE(a_known_claim_of_another_host_is_awaited,
                      boost::unit_test::data::make(turn_cases), sample) {
     promoter made{promoter_settings{}};
@@ -104,8 +104,7 @@
     if (sample.released.has_value()) {
         made.on_duty_released(*sample.released);
     }
-    BOOST_TEST(only<request_duty>(made.advance(start + 2s, {lost()})).has_value() ==
-               sample.claims);
+    BOOST_TEST(only<request_duty>(made.advance(start + 2s, {lost()})).has_value() == sample.claims);
     BOOST_TEST(made.promoting(service) == false);
 }
 
--- a/packages/proxy/test/registry/registry_follower_test.cpp
+++ b/packages/proxy/test/registry/registry_follower_test.cpp
@@ -118,6 +118,32 @@
     BOOST_TEST((follower.retry_at() - now == 100ms));
 }
 
+// Found on dala-ops (mix --seed 132432860516): the first watch after an outage was lost without a
+// sign, and the host kept an old configuration for the 25 s that a watch may wait.
+BOOST_AUTO_TEST_CASE(a_watch_after_a_failure_is_short) {
+    registry_follower follower = listed();
+    BOOST_REQUIRE(follower.next_call(start).has_value());
+    static_cast<void>(follower.on_changes(start, {registry_status::unknown, {}, 0}));
+    const std::optional<registry_follower::call> again = follower.next_call(follower.retry_at());
+    BOOST_REQUIRE(watches_after(again, 7));
+    BOOST_TEST((std::get<watch_items>(*again).wait <= 1s));
+    static_cast<void>(follower.on_changes(start + 2s, {registry_status::done, {}, 7}));
+    const std::optional<registry_follower::call> next = follower.next_call(start + 2s);
+    BOOST_REQUIRE(watches_after(next, 7));
+    BOOST_TEST((std::get<watch_items>(*next).wait == follower_settings{}.watch_wait));
+}
+
+// Guards against waiting for a watch that an outage may have lost, and against losing changes then.
+BOOST_AUTO_TEST_CASE(a_restarted_follower_continues_with_a_short_watch) {
+    registry_follower follower = listed();
+    BOOST_REQUIRE(follower.next_call(start).has_value());
+    registry_follower next = follower.restarted(start + 3s);
+    BOOST_TEST(!next.connected());
+    const std::optional<registry_follower::call> call = next.next_call(next.retry_at());
+    BOOST_REQUIRE(watches_after(call, 7));
+    BOOST_TEST((std::get<watch_items>(*call).wait <= 1s));
+}
+
 // Found on dala-ops-grown: every registration of a host woke the watches of all hosts.
 BOOST_AUTO_TEST_CASE(polled_items_are_listed_without_watches) {
     registry_follower follower = listed({.poll_interval = 8s});
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -34,9 +34,9 @@
 /// The list of hosts decides only on shares of connections and on majorities.
 constexpr std::chrono::seconds hosts_poll_interval{8};
 
-/// Targets that start together, and configurations in quick succession, are learned of in few calls.
-/// The last change of a series is in force 1 s later; the tightest bound of the reference deployments
-/// is 3 s.
+/// Targets that start together, and configurations in quick succession, are learned of in few
+/// calls. The last change of a series is in force 1 s later; the tightest bound of the reference
+/// deployments is 3 s.
 constexpr std::chrono::milliseconds targets_watch_pause{200};
 constexpr std::chrono::milliseconds configuration_watch_pause{100};
 constexpr std::chrono::milliseconds watch_pause_max{800};
@@ -209,10 +209,10 @@
 gateway::http_server::answer
 session_host::answer_request(const gateway::http_server::request& request) const {
     if (request.target == "/metrics") {
-        return {200, "text/plain; version=0.0.4", metrics_.render()};
+        return {200, "text/plain; version=0.0.4", metrics_.render(), {}};
     }
-    return ready_ ? gateway::http_server::answer{200, "text/plain", "ready\n"}
-                  : gateway::http_server::answer{503, "text/plain", "not ready\n"};
+    return ready_ ? gateway::http_server::answer{200, "text/plain", "ready\n", {}}
+                  : gateway::http_server::answer{503, "text/plain", "not ready\n", {}};
 }
 
 void session_host::keep_registry() {
@@ -238,6 +238,10 @@
     }
     const auto on_lease = [this](const proxy::lease_outcome& outcome) {
         registration_.on_lease(internal::now(), outcome);
+        if (outcome.status == proxy::registry_status::unknown ||
+            outcome.status == proxy::registry_status::rejected) {
+            restart_watches();
+        }
         keep_registration();
     };
     std::visit(core::overloaded{
@@ -259,24 +263,23 @@
         !configuration_follower_->connected()) {
         return;
     }
-    const std::optional<proxy::registry_follower::call> call =
-        follower->next_call(internal::now());
+    const std::optional<proxy::registry_follower::call> call = follower->next_call(internal::now());
     if (!call.has_value()) {
         return;
     }
     // Results for a follower that was dropped meanwhile are dropped with it.
-    const auto after = [this, weak = std::weak_ptr<proxy::registry_follower>{follower}](
-                           const auto& digest) {
-        const std::shared_ptr<proxy::registry_follower> source = weak.lock();
-        if (source == nullptr) {
-            return;
-        }
-        const bool was_connected = source->connected();
-        const proxy::registry_follower::update update = digest(*source);
-        note_connection(*source, was_connected);
-        apply(*source, update);
-        follow(source);
-    };
+    const auto after =
+        [this, weak = std::weak_ptr<proxy::registry_follower>{follower}](const auto& digest) {
+            const std::shared_ptr<proxy::registry_follower> source = weak.lock();
+            if (source == nullptr) {
+                return;
+            }
+            const bool was_connected = source->connected();
+            const proxy::registry_follower::update update = digest(*source);
+            note_connection(*source, was_connected);
+            apply(*source, update);
+            follow(source);
+        };
     std::visit(core::overloaded{
                    [&](const proxy::list_items& value) {
                        store_.list(value, [after](const proxy::item_page& page) {
@@ -296,6 +299,18 @@
                *call);
 }
 
+void session_host::restart_watches() {
+    // An outage may have lost a waiting watch without a sign.
+    for (std::shared_ptr<proxy::registry_follower>* const follower :
+         {&configuration_follower_, &targets_follower_, &promotion_follower_}) {
+        if (*follower != nullptr && (*follower)->connected()) {
+            *follower =
+                std::make_shared<proxy::registry_follower>((*follower)->restarted(internal::now()));
+            note_connection(**follower, true);
+        }
+    }
+}
+
 void session_host::note_connection(const proxy::registry_follower& follower, bool was_connected) {
     if (follower.connected() == was_connected) {
         return;
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -45,6 +45,7 @@
     void reload();
 
     void follow(const std::shared_ptr<proxy::registry_follower>& follower);
+    void restart_watches();
     void note_connection(const proxy::registry_follower& follower, bool was_connected);
     void apply(const proxy::registry_follower& follower,
                const proxy::registry_follower::update& update);
