--- a/soak/src/soak_run.cpp
+++ b/soak/src/soak_run.cpp
@@ -58,6 +58,13 @@
       started_{clock::now()} {
     std::filesystem::create_directories(directory_);
     configure();
+    make_hosts();
+    make_callers();
+    make_host_faults();
+    make_target_faults();
+}
+
+void soak_run::make_hosts() {
     const std::uint16_t store_port = static_cast<std::uint16_t>(
         std::stoul(store_.address().substr(store_.address().rfind(':') + 1)));
     const std::vector<std::uint16_t> ports = testbed::free_ports(2 * internal::host_count);
@@ -69,6 +76,9 @@
         made.store_link = std::make_unique<fault_link>(context_, store_port);
         start_host(made);
     }
+}
+
+void soak_run::make_callers() {
     std::uint64_t session = 0;
     for (const auto& known : hosts_) {
         for (const internal::database& asked : internal::databases) {
@@ -89,6 +99,9 @@
             }
         }
     }
+}
+
+void soak_run::make_host_faults() {
     faults_ = {
         {"kill", [this] { kill_host(any_host()); }},
         {"pause", [this] { pause_host(any_host()); }},
@@ -115,6 +128,11 @@
                  }
              });
          }},
+    };
+}
+
+void soak_run::make_target_faults() {
+    const std::vector<named_fault> more{
         {"target crash",
          [this] {
              const std::size_t victim = draw(target_group::size);
@@ -140,6 +158,7 @@
          }},
         {"configuration", [this] { configure(); }},
     };
+    faults_.insert(faults_.end(), more.begin(), more.end());
 }
 
 soak_run::~soak_run() {
--- a/soak/src/soak_run.hpp
+++ b/soak/src/soak_run.hpp
@@ -57,6 +57,10 @@
         std::function<void()> inject;
     };
 
+    void make_hosts();
+    void make_callers();
+    void make_host_faults();
+    void make_target_faults();
     void configure();
     void start_host(host& started);
     void watch_processes();
