--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -204,6 +204,8 @@
     [[nodiscard]] static bool concerns_primary(const service_state& state,
                                                const core::target_id& suspected);
     [[nodiscard]] bool suspicion_confirmed(const service_state& state) const;
+    /// @return The primary if it announced its end.
+    [[nodiscard]] const target_state* draining_primary(const service_state& state);
     [[nodiscard]] promotion_cause cause_of(const core::service_id& id, service_state& state);
     [[nodiscard]] bool may_promote_now(const core::service_id& id, const service_state& state,
                                        core::time_point needed_since) const;
--- a/packages/proxy/src/engine/engine_promotion.cpp
+++ b/packages/proxy/src/engine/engine_promotion.cpp
@@ -1,11 +1,11 @@
 #include <lovagemoor/proxy/engine/engine.hpp>
 
 #include <lovagemoor/core/overloaded.hpp>
+#include <lovagemoor/core/placement.hpp>
 #include <lovagemoor/proxy/promotion/observers.hpp>
 #include <lovagemoor/proxy/promotion/suspicion_quorum.hpp>
 
 #include <algorithm>
-#include <functional>
 #include <iterator>
 #include <string>
 #include <utility>
@@ -110,14 +110,10 @@
             order.push_back(host);
         }
     }
+    order = core::rank_hosts(id.value, std::move(order));
     const auto own = std::find(order.begin(), order.end(), settings_.host);
-    if (own == order.end()) {
-        return false;
-    }
-    const std::size_t start = std::hash<std::string>{}(id.value) % order.size();
-    const std::size_t index = static_cast<std::size_t>(std::distance(order.begin(), own));
-    const std::size_t rank = (index + order.size() - start) % order.size();
-    return now_ - needed_since >= settings_.promotion_rank_delay * static_cast<int>(rank);
+    return own != order.end() && now_ - needed_since >= settings_.promotion_rank_delay *
+                                                            std::distance(order.begin(), own);
 }
 
 service_outlook engine::outlook_of(const core::service_id& id, service_state& state) {
@@ -153,25 +149,27 @@
             return promotion_cause::primary_lost;
         }
     }
-    const std::optional<core::target_id>& primary = state.view.primary();
-    const target_state* const target = primary.has_value() ? pool_.find(*primary) : nullptr;
-    const bool draining = target != nullptr && target->record.draining;
-    if (draining) {
-        choose_observers_of(id, state);
+    const target_state* const draining = draining_primary(state);
+    if (draining == nullptr) {
+        return promotion_cause::none;
     }
-    return draining && (holds_duty || may_promote_now(id, state, target->draining_since))
+    choose_observers_of(id, state);
+    return holds_duty || may_promote_now(id, state, draining->draining_since)
                ? promotion_cause::primary_draining
                : promotion_cause::none;
 }
 
+const target_state* engine::draining_primary(const service_state& state) {
+    const std::optional<core::target_id>& primary = state.view.primary();
+    const target_state* const target = primary.has_value() ? pool_.find(*primary) : nullptr;
+    return target != nullptr && target->record.draining ? target : nullptr;
+}
+
 void engine::keep_promotion_interest() {
     bool part = promoter_.claims_or_holds_duty(now_);
     for (const auto& [id, state] : services_) {
-        const std::optional<core::target_id>& primary = state.view.primary();
-        const target_state* const target = primary.has_value() ? pool_.find(*primary) : nullptr;
-        const bool draining = target != nullptr && target->record.draining;
         part = part || state.suspicion_published ||
-               (draining && state.observers.contains(settings_.host));
+               (draining_primary(state) != nullptr && state.observers.contains(settings_.host));
     }
     if (part) {
         promotion_interest_ = now_;
