--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -121,6 +121,8 @@
     void answer_error(session& caller, statement_error error);
     void close_if_done(session& caller);
     [[nodiscard]] std::shared_ptr<const route> find_route(const std::string& database) const;
+    /// @return The answer to a statement for whose database no route is known.
+    [[nodiscard]] statement_error missing_route() const;
     [[nodiscard]] bool writes(const session& caller, const statement& work) const;
 
     // Requests, engine_requests.cpp
--- a/packages/proxy/src/engine/engine_sessions.cpp
+++ b/packages/proxy/src/engine/engine_sessions.cpp
@@ -12,6 +12,13 @@
     return found == configuration_->routes.end() ? nullptr : found->second;
 }
 
+statement_error engine::missing_route() const {
+    if (!configuration_.has_value()) {
+        return {statement_error_kind::busy, "no configuration yet", settings_.search_interval};
+    }
+    return {statement_error_kind::unknown_database, "no route", std::nullopt};
+}
+
 bool engine::writes(const session& caller, const statement& work) const {
     if (work.kind == statement_kind::execute) {
         const auto found = caller.prepared.find(work.name);
@@ -40,13 +47,7 @@
     const std::shared_ptr<const route> via =
         caller.transaction.has_value() ? caller.transaction->via : find_route(caller.database);
     if (via == nullptr) {
-        if (configuration_.has_value()) {
-            answer_error(caller,
-                         {statement_error_kind::unknown_database, "no route", std::nullopt});
-        } else {
-            answer_error(caller, {statement_error_kind::busy, "no configuration yet",
-                                  settings_.search_interval});
-        }
+        answer_error(caller, missing_route());
         return;
     }
     start_request(caller, work, via);
@@ -118,7 +119,7 @@
     }
     const std::shared_ptr<const route> via = find_route(caller.database);
     if (via == nullptr) {
-        answer_error(caller, {statement_error_kind::unknown_database, "no route", std::nullopt});
+        answer_error(caller, missing_route());
         return;
     }
     transaction& begun = caller.transaction.emplace();
--- a/packages/proxy/test/engine/engine_test.cpp
+++ b/packages/proxy/test/engine/engine_test.cpp
@@ -409,6 +409,34 @@
     BOOST_TEST(opened() == 3U);
 }
 
+namespace {
+
+struct unconfigured_case {
+    const char* name;
+    kind sent;
+
+    friend std::ostream& operator<<(std::ostream& output, const unconfigured_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<unconfigured_case> unconfigured_cases{
+    {"read", kind::read}, {"write", kind::write}, {"begin", kind::begin}};
+
+} // namespace
+
+// Found by the soak: a host that started without the registry called databases unknown when a
+// transaction began.
+BOOST_DATA_TEST_CASE(without_configuration_no_database_is_unknown,
+                     boost::unit_test::data::make(unconfigured_cases), sample) {
+    fake_cluster cluster;
+    const std::string id = cluster.send(cluster.open("latest"), sample.sent, "x");
+    BOOST_REQUIRE(cluster.answer(id).has_value());
+    BOOST_REQUIRE(cluster.answer(id)->result.error.has_value());
+    BOOST_TEST((cluster.answer(id)->result.error->kind == error_kind::busy));
+    BOOST_TEST(cluster.answer(id)->result.error->retry_after.has_value());
+}
+
 // Guards against an older configuration coming back.
 BOOST_AUTO_TEST_CASE(an_older_configuration_is_not_applied) {
     fake_cluster cluster = started();
--- a/soak/src/caller.cpp
+++ b/soak/src/caller.cpp
@@ -203,6 +203,9 @@
 }
 
 void caller::on_error(const std::string& id, const std::string& text) {
+    if (error_ == "NODB") {
+        promises_.violate("CONFIG", id + " was told that its database is unknown");
+    }
     const bool single = text.starts_with("WRITE ") && !promises_.statements.at(id).in_transaction;
     if ((single || text == "COMMIT") && internal::promises_not_run.contains(error_)) {
         promises_.refused[id] = error_;
