--- a/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/engine.hpp
@@ -94,8 +94,6 @@
     void on(const target_changed& input);
     void on(const target_removed& input);
     void on(const hosts_listed& input);
-    void on(const host_joined& input);
-    void on(const host_left& input);
     void on(const suspicions_listed& input);
     void on(const suspicion_reported& input);
     void on(const suspicion_withdrawn& input);
@@ -120,6 +118,7 @@
     void answer_success(session& caller);
     void answer_error(session& caller, statement_error error);
     void close_if_done(session& caller);
+    void close_sessions(const std::vector<session_id>& ids);
     [[nodiscard]] std::shared_ptr<const route> find_route(const std::string& database) const;
     /// @return The answer to a statement for whose database no route is known.
     [[nodiscard]] statement_error missing_route() const;
@@ -137,6 +136,8 @@
     void observe_service(service_state& state, core::duration service_time);
     [[nodiscard]] std::optional<core::target_id> choose_target(session& caller);
     [[nodiscard]] std::optional<core::target_id> choose_replica(session& caller);
+    /// @return nullptr if no listed target is known to lead.
+    [[nodiscard]] target_state* primary_of(const service_state& service);
     [[nodiscard]] std::optional<log_point> required_point(const session& caller) const;
     [[nodiscard]] bool needs_primary(const session& caller) const;
     [[nodiscard]] bool usable(const target_state& target) const;
@@ -180,6 +181,8 @@
     void apply_target(const target_record& record);
     void apply_removal(const core::target_id& id);
     void forget(const core::target_id& id);
+    void note_host(const host_record& record);
+    void note_host_left(const core::host_id& host, host_state& state);
     void update_ready();
 
     // Periodic work and promotion, engine_upkeep.cpp
@@ -200,6 +203,7 @@
     void run_promoter();
     void keep_promotion_interest();
     void forget_reports();
+    void add_report(const suspicion_report& report);
     [[nodiscard]] service_outlook outlook_of(const core::service_id& id, service_state& state);
     [[nodiscard]] bool is_failing(const service_state& state) const;
     [[nodiscard]] bool reaches_replica(const core::service_id& id, const service_state& state);
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -104,14 +104,6 @@
     std::vector<host_record> hosts;
 };
 
-struct host_joined {
-    host_record host;
-};
-
-struct host_left {
-    core::host_id host;
-};
-
 /// @}
 
 /// @brief The registry can be reached, or no longer.
@@ -194,12 +186,11 @@
 /// @brief The time of engine::next_wakeup() has come.
 struct timer_expired {};
 
-using event =
-    std::variant<session_opened, statement_received, session_closed, target_connected,
-                 target_replied, target_disconnected, configuration_changed, targets_listed,
-                 target_changed, target_removed, hosts_listed, host_joined, host_left,
-                 suspicions_listed, suspicion_reported, suspicion_withdrawn,
-                 suspicion_publish_failed, duty_claimed, duty_taken, duty_released,
-                 promotion_answered, registry_reachable, stop_requested, timer_expired>;
+using event = std::variant<session_opened, statement_received, session_closed, target_connected,
+                           target_replied, target_disconnected, configuration_changed,
+                           targets_listed, target_changed, target_removed, hosts_listed,
+                           suspicions_listed, suspicion_reported, suspicion_withdrawn,
+                           suspicion_publish_failed, duty_claimed, duty_taken, duty_released,
+                           promotion_answered, registry_reachable, stop_requested, timer_expired>;
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/include/lovagemoor/proxy/pool/target_pool.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/pool/target_pool.hpp
@@ -94,6 +94,8 @@
     void detach(const target_connection& connection);
 
     std::map<core::target_id, target_state> targets_;
+    /// Points into targets_.
+    std::map<core::service_id, std::map<core::target_id, target_state*>> services_;
     std::map<core::connection_id, target_connection> connections_;
 };
 
--- a/packages/proxy/src/engine/engine_isolation.cpp
+++ b/packages/proxy/src/engine/engine_isolation.cpp
@@ -43,10 +43,7 @@
             idle.push_back(id);
         }
     }
-    for (const session_id id : idle) {
-        out_.emplace_back(close_session{id});
-        on(session_closed{id});
-    }
+    close_sessions(idle);
 }
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/src/engine/engine_promotion.cpp
+++ b/packages/proxy/src/engine/engine_promotion.cpp
@@ -160,9 +160,8 @@
 }
 
 const target_state* engine::draining_primary(const service_state& state) {
-    const std::optional<core::target_id>& primary = state.view.primary();
-    const target_state* const target = primary.has_value() ? pool_.find(*primary) : nullptr;
-    return target != nullptr && target->record.draining ? target : nullptr;
+    const target_state* const primary = primary_of(state);
+    return primary != nullptr && primary->record.draining ? primary : nullptr;
 }
 
 void engine::keep_promotion_interest() {
@@ -255,21 +254,26 @@
     }
 }
 
+void engine::add_report(const suspicion_report& report) {
+    service_state& state = services_[report.service];
+    if (report.reporter == settings_.host && !state.suspicion_published) {
+        // Left by a former process of this host.
+        out_.emplace_back(withdraw_suspicion{report.service});
+        return;
+    }
+    state.reporters[report.reporter] = report.primary;
+}
+
 void engine::on(const suspicions_listed& input) {
     forget_reports();
     for (const suspicion_report& report : input.reports) {
-        on(suspicion_reported{report});
+        add_report(report);
     }
+    run_promoter();
 }
 
 void engine::on(const suspicion_reported& input) {
-    service_state& state = services_[input.report.service];
-    if (input.report.reporter == settings_.host && !state.suspicion_published) {
-        // Left by a former process of this host.
-        out_.emplace_back(withdraw_suspicion{input.report.service});
-        return;
-    }
-    state.reporters[input.report.reporter] = input.report.primary;
+    add_report(input.report);
     run_promoter();
 }
 
--- a/packages/proxy/src/engine/engine_registry.cpp
+++ b/packages/proxy/src/engine/engine_registry.cpp
@@ -90,29 +90,30 @@
     std::set<core::host_id> listed;
     for (const host_record& record : input.hosts) {
         listed.insert(record.host);
-        on(host_joined{record});
+        note_host(record);
     }
     for (auto& [id, state] : hosts_) {
         if (!listed.contains(id) && !state.left_at.has_value()) {
-            on(host_left{id});
+            note_host_left(id, state);
         }
     }
 }
 
-void engine::on(const host_joined& input) {
+void engine::note_host(const host_record& record) {
+    const auto [known, is_new] = hosts_.try_emplace(record.host, host_state{record.domain, {}});
+    if (!is_new && !known->second.left_at.has_value() && known->second.domain == record.domain) {
+        return;
+    }
+    known->second = host_state{record.domain, std::nullopt};
     ++hosts_version_;
     kept_outdated_ = true;
-    hosts_[input.host.host] = host_state{input.host.domain, std::nullopt};
 }
 
-void engine::on(const host_left& input) {
-    const auto found = hosts_.find(input.host);
-    if (found != hosts_.end() && !found->second.left_at.has_value()) {
-        found->second.left_at = now_;
-        ++hosts_version_;
-    }
-    for (auto& [id, state] : services_) {
-        state.reporters.erase(input.host);
+void engine::note_host_left(const core::host_id& host, host_state& state) {
+    state.left_at = now_;
+    ++hosts_version_;
+    for (auto& [id, service] : services_) {
+        service.reporters.erase(host);
     }
 }
 
--- a/packages/proxy/src/engine/engine_requests.cpp
+++ b/packages/proxy/src/engine/engine_requests.cpp
@@ -157,7 +157,7 @@
         work.check_leadership = true;
     }
     const std::optional<core::target_id>& primary = service.view.primary();
-    const target_state* const target = primary.has_value() ? pool_.find(*primary) : nullptr;
+    const target_state* const target = primary_of(service);
     if (target == nullptr || !usable(*target) || primary_gap(service).has_value()) {
         work.waits_for = wait_reason::primary;
         return std::nullopt;
@@ -170,6 +170,11 @@
     return primary;
 }
 
+target_state* engine::primary_of(const service_state& service) {
+    const std::optional<core::target_id>& primary = service.view.primary();
+    return primary.has_value() ? pool_.find(*primary) : nullptr;
+}
+
 std::optional<log_point> engine::required_point(const session& caller) const {
     const request& work = *caller.current;
     const auto service = services_.find(work.via->service);
@@ -270,11 +275,15 @@
         return found == sessions_.end() || !found->second.current.has_value() ||
                found->second.current->phase != request_phase::waiting;
     });
-    std::stable_sort(waiting.begin(), waiting.end(), [this](session_id left, session_id right) {
-        return served_before(waiting_request_of(sessions_.at(left)),
-                             waiting_request_of(sessions_.at(right)), now_);
-    });
+    std::vector<std::pair<waiting_request, session_id>> ordered;
+    ordered.reserve(waiting.size());
     for (const session_id id : waiting) {
+        ordered.emplace_back(waiting_request_of(sessions_.at(id)), id);
+    }
+    std::stable_sort(ordered.begin(), ordered.end(), [this](const auto& left, const auto& right) {
+        return served_before(left.first, right.first, now_);
+    });
+    for (const auto& [request, id] : ordered) {
         const auto found = sessions_.find(id);
         if (found != sessions_.end() && found->second.current.has_value() &&
             found->second.current->phase == request_phase::waiting) {
--- a/packages/proxy/src/engine/engine_sessions.cpp
+++ b/packages/proxy/src/engine/engine_sessions.cpp
@@ -178,6 +178,13 @@
     answer(caller, std::move(result));
 }
 
+void engine::close_sessions(const std::vector<session_id>& ids) {
+    for (const session_id id : ids) {
+        out_.emplace_back(close_session{id});
+        on(session_closed{id});
+    }
+}
+
 void engine::close_if_done(session& caller) {
     if (caller.close_when_idle && caller.state == session_state::idle &&
         !caller.current.has_value() && caller.backlog.empty()) {
--- a/packages/proxy/src/engine/engine_upkeep.cpp
+++ b/packages/proxy/src/engine/engine_upkeep.cpp
@@ -141,8 +141,7 @@
     if (now_ - state.last_use > internal::service_idle_after) {
         return;
     }
-    const std::optional<core::target_id> primary = state.view.primary();
-    target_state* const target = primary.has_value() ? pool_.find(*primary) : nullptr;
+    target_state* const target = primary_of(state);
     if (target != nullptr) {
         state.missing_since.reset();
     } else if (!state.missing_since.has_value()) {
@@ -203,10 +202,7 @@
             idle.push_back(id);
         }
     }
-    for (const session_id id : idle) {
-        out_.emplace_back(close_session{id});
-        on(session_closed{id});
-    }
+    close_sessions(idle);
     if (sessions_.empty() && since > settings_.stop_grace / 3) {
         out_.emplace_back(stop_process{});
     }
--- a/packages/proxy/src/pool/target_pool.cpp
+++ b/packages/proxy/src/pool/target_pool.cpp
@@ -22,6 +22,7 @@
     }
     state.record = record;
     state.removed_at.reset();
+    services_[record.service][record.id] = &state;
     return obsolete;
 }
 
@@ -35,7 +36,11 @@
             ++entry;
         }
     }
-    targets_.erase(target);
+    const auto removed = targets_.find(target);
+    if (removed != targets_.end()) {
+        services_[removed->second.record.service].erase(target);
+        targets_.erase(removed);
+    }
     return orphans;
 }
 
@@ -50,13 +55,14 @@
 }
 
 std::vector<target_state*> target_pool::of_service(const core::service_id& service) {
-    std::vector<target_state*> found;
-    for (auto& [id, state] : targets_) {
-        if (state.record.service == service) {
-            found.push_back(&state);
+    std::vector<target_state*> targets;
+    const auto known = services_.find(service);
+    if (known != services_.end()) {
+        for (const auto& [id, state] : known->second) {
+            targets.push_back(state);
         }
     }
-    return found;
+    return targets;
 }
 
 target_connection& target_pool::open(target_state& target, core::connection_id id,
--- a/packages/proxy/src/registry/registry_follower.cpp
+++ b/packages/proxy/src/registry/registry_follower.cpp
@@ -76,7 +76,6 @@
     const bool in_succession = now - paused_until_ < settings_.watch_pause_max;
     pause_ = in_succession ? std::min<core::duration>(2 * pause_, settings_.watch_pause_max)
                            : settings_.watch_pause;
-    pause_ = std::max<core::duration>(pause_, settings_.watch_pause);
     paused_until_ = now + pause_;
     retry_at_ = paused_until_;
 }
--- a/packages/settings/src/key_table.cpp
+++ b/packages/settings/src/key_table.cpp
@@ -29,16 +29,6 @@
     return text.str();
 }
 
-template <typename Number>
-result<Number> parse_in_range(const std::string& text, Number lowest, Number highest,
-                              const std::string& range) {
-    BOOST_OUTCOME_TRY(number, parse_number<Number>(text));
-    if (!(number >= lowest && number <= highest)) {
-        return value_error(settings_error_kind::out_of_range, text + " is not from " + range);
-    }
-    return number;
-}
-
 /// @brief A duration in the core's settings, given in whole milliseconds.
 template <typename Duration>
 host_key duration_key(std::string section, std::string name, Duration core_settings::*field,
@@ -74,17 +64,6 @@
             }};
 }
 
-/// @brief A key whose text is checked by a function and stored by another one.
-template <typename Parse, typename Store>
-host_key text_key(key_description description, Parse parse, Store store) {
-    return {std::move(description),
-            [parse, store](host_settings& settings, const std::string& text) -> result<void> {
-                BOOST_OUTCOME_TRY(value, parse(text));
-                store(settings, std::move(value));
-                return boost::outcome_v2::success();
-            }};
-}
-
 /// @brief A comma-separated list; the function parses one element.
 template <typename Element, typename Parse>
 host_key list_key(key_description description, std::vector<Element> host_settings::*field,
@@ -133,39 +112,42 @@
 
 std::vector<host_key> host_keys() {
     return {
-        text_key({"host", "id", "name", "", "", "", true, "Unique identifier of this host."},
-                 parse_name,
-                 [](host_settings& settings, std::string value) {
-                     settings.id.value = std::move(value);
-                 }),
-        text_key({"host", "failure_domain", "name", "", "", "", true,
-                  "Failure domain in which this host runs."},
-                 parse_name,
-                 [](host_settings& settings, std::string value) {
-                     settings.domain.value = std::move(value);
-                 }),
-        text_key({"host", "peer_listen", "tcp://ip:port", "", "", "", true,
-                  "ZeroMQ endpoint for other hosts; port 0 takes a free port."},
-                 parse_listen_endpoint, store_text(&host_settings::peer_listen)),
-        text_key({"host", "peer_source", "ip", "", "", "", false,
-                  "IP number from which connections to other hosts are made; empty lets the system "
-                  "choose."},
-                 parse_ip, store_text(&host_settings::peer_source)),
-        text_key({"host", "peer_advertise", "tcp://ip:port", "", "", "", false,
-                  "ZeroMQ endpoint under which other hosts reach this one; empty for peer_listen."},
-                 parse_remote_endpoint, store_text(&host_settings::peer_advertise)),
-        text_key({"host", "caller_listen", "ip:port", "", "", "", true,
-                  "gRPC address for callers; port 0 takes a free port."},
-                 parse_listen_address, store_text(&host_settings::caller_listen)),
-        text_key({"host", "operator_listen", "ip:port", "", "", "", true,
-                  "gRPC address for operators; port 0 takes a free port."},
-                 parse_listen_address, store_text(&host_settings::operator_listen)),
-        text_key({"host", "metrics_listen", "ip:port", "", "", "", false,
-                  "HTTP address for Prometheus; empty for no metrics endpoint."},
-                 parse_listen_address, store_text(&host_settings::metrics_listen)),
-        text_key({"host", "session_key_file", "path", "", "", "", true,
-                  "File with the key that authenticates session tokens, the same on all hosts."},
-                 parse_path, store_text(&host_settings::session_key_file)),
+        text_key<host_settings>(
+            {"host", "id", "name", "", "", "", true, "Unique identifier of this host."}, parse_name,
+            [](host_settings& settings, std::string value) {
+                settings.id.value = std::move(value);
+            }),
+        text_key<host_settings>({"host", "failure_domain", "name", "", "", "", true,
+                                 "Failure domain in which this host runs."},
+                                parse_name,
+                                [](host_settings& settings, std::string value) {
+                                    settings.domain.value = std::move(value);
+                                }),
+        text_key<host_settings>({"host", "peer_listen", "tcp://ip:port", "", "", "", true,
+                                 "ZeroMQ endpoint for other hosts; port 0 takes a free port."},
+                                parse_listen_endpoint, store_text(&host_settings::peer_listen)),
+        text_key<host_settings>(
+            {"host", "peer_source", "ip", "", "", "", false,
+             "IP number from which connections to other hosts are made; empty lets the system "
+             "choose."},
+            parse_ip, store_text(&host_settings::peer_source)),
+        text_key<host_settings>(
+            {"host", "peer_advertise", "tcp://ip:port", "", "", "", false,
+             "ZeroMQ endpoint under which other hosts reach this one; empty for peer_listen."},
+            parse_remote_endpoint, store_text(&host_settings::peer_advertise)),
+        text_key<host_settings>({"host", "caller_listen", "ip:port", "", "", "", true,
+                                 "gRPC address for callers; port 0 takes a free port."},
+                                parse_listen_address, store_text(&host_settings::caller_listen)),
+        text_key<host_settings>({"host", "operator_listen", "ip:port", "", "", "", true,
+                                 "gRPC address for operators; port 0 takes a free port."},
+                                parse_listen_address, store_text(&host_settings::operator_listen)),
+        text_key<host_settings>({"host", "metrics_listen", "ip:port", "", "", "", false,
+                                 "HTTP address for Prometheus; empty for no metrics endpoint."},
+                                parse_listen_address, store_text(&host_settings::metrics_listen)),
+        text_key<host_settings>(
+            {"host", "session_key_file", "path", "", "", "", true,
+             "File with the key that authenticates session tokens, the same on all hosts."},
+            parse_path, store_text(&host_settings::session_key_file)),
     };
 }
 
@@ -280,11 +262,11 @@
 }
 
 std::vector<host_key> log_keys() {
-    return {text_key({"log", "level", "debug, info, warning or error", "", "", "info", false,
-                      "Lowest level of events that are logged."},
-                     parse_level, [](host_settings& settings, core::log_event::level value) {
-                         settings.log_level = value;
-                     })};
+    return {text_key<host_settings>(
+        {"log", "level", "debug, info, warning or error", "", "", "info", false,
+         "Lowest level of events that are logged."},
+        parse_level,
+        [](host_settings& settings, core::log_event::level value) { settings.log_level = value; })};
 }
 
 std::vector<host_key> make_table() {
--- a/packages/settings/src/key_table.hpp
+++ b/packages/settings/src/key_table.hpp
@@ -2,8 +2,11 @@
 
 #include <lovagemoor/settings/host_settings.hpp>
 
+#include <boost/outcome/try.hpp>
+
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lovagemoor::settings::internal {
@@ -20,6 +23,17 @@
 template <typename Settings>
 using key_list = std::vector<key_entry<Settings>>;
 
+/// @brief A key whose text is checked by a function and stored by another one.
+template <typename Settings, typename Parse, typename Store>
+key_entry<Settings> text_key(key_description description, Parse parse, Store store) {
+    return {std::move(description),
+            [parse, store](Settings& settings, const std::string& text) -> result<void> {
+                BOOST_OUTCOME_TRY(value, parse(text));
+                store(settings, std::move(value));
+                return boost::outcome_v2::success();
+            }};
+}
+
 using host_key = key_entry<host_settings>;
 
 [[nodiscard]] const key_list<host_settings>& key_table();
--- a/packages/settings/src/session_settings.cpp
+++ b/packages/settings/src/session_settings.cpp
@@ -3,8 +3,6 @@
 #include "ini_reader.hpp"
 #include "value_parser.hpp"
 
-#include <boost/outcome/try.hpp>
-
 #include <cstdint>
 #include <utility>
 
@@ -16,20 +14,9 @@
 
 using session_key = key_entry<session_settings>;
 
-/// @brief A key whose text is checked by a function and stored by another one.
-template <typename Parse, typename Store>
-session_key session_text_key(key_description description, Parse parse, Store store) {
-    return {std::move(description),
-            [parse, store](session_settings& settings, const std::string& text) -> result<void> {
-                BOOST_OUTCOME_TRY(value, parse(text));
-                store(settings, std::move(value));
-                return boost::outcome_v2::success();
-            }};
-}
-
 session_key address_key(std::string section, std::string name, bool required, bool listens,
                         std::string session_settings::*field, std::string documentation) {
-    return session_text_key(
+    return text_key<session_settings>(
         {std::move(section), std::move(name), "ip:port", "", "", "", required,
          std::move(documentation)},
         [listens](const std::string& text) { return parse_address(text, listens); },
@@ -44,16 +31,11 @@
                       std::int64_t lowest, std::int64_t highest, Value session_settings::*field,
                       std::string documentation) {
     const std::string range = std::to_string(lowest) + " to " + std::to_string(highest);
-    return session_text_key(
+    return text_key<session_settings>(
         {std::move(section), std::move(name), "whole number", std::move(unit), range,
          std::to_string(initial), false, std::move(documentation)},
-        [lowest, highest, range](const std::string& text) -> result<std::int64_t> {
-            BOOST_OUTCOME_TRY(number, parse_number<std::int64_t>(text));
-            if (number < lowest || number > highest) {
-                return value_error(settings_error_kind::out_of_range,
-                                   text + " is not from " + range);
-            }
-            return number;
+        [lowest, highest, range](const std::string& text) {
+            return parse_in_range<std::int64_t>(text, lowest, highest, range);
         },
         [field](session_settings& settings, std::int64_t value) {
             settings.*field = Value(value);
@@ -68,16 +50,12 @@
                         std::string documentation) {
     constexpr double shortest = 0.1;
     constexpr double longest = 60;
-    return session_text_key(
-        {std::move(section), std::move(name), "number", "s", "0.1 to 60",
+    constexpr const char* range = "0.1 to 60";
+    return text_key<session_settings>(
+        {std::move(section), std::move(name), "number", "s", range,
          std::to_string(initial.count() / 1000), false, std::move(documentation)},
-        [](const std::string& text) -> result<double> {
-            BOOST_OUTCOME_TRY(number, parse_number<double>(text));
-            if (!(number >= shortest && number <= longest)) {
-                return value_error(settings_error_kind::out_of_range,
-                                   text + " is not from 0.1 to 60");
-            }
-            return number;
+        [](const std::string& text) {
+            return parse_in_range<double>(text, shortest, longest, range);
         },
         [field](session_settings& settings, double value) {
             settings.*field = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -88,17 +66,17 @@
 key_list<session_settings> make_session_table() {
     const session_settings initial;
     return {
-        session_text_key({"host", "id", "name", "", "", "", true, "Unique name of this host."},
-                         parse_name,
-                         [](session_settings& settings, std::string value) {
-                             settings.id.value = std::move(value);
-                         }),
-        session_text_key({"host", "failure_domain", "name", "", "", "", true,
-                          "Failure domain in which this host runs."},
-                         parse_name,
-                         [](session_settings& settings, std::string value) {
-                             settings.domain.value = std::move(value);
-                         }),
+        text_key<session_settings>(
+            {"host", "id", "name", "", "", "", true, "Unique name of this host."}, parse_name,
+            [](session_settings& settings, std::string value) {
+                settings.id.value = std::move(value);
+            }),
+        text_key<session_settings>({"host", "failure_domain", "name", "", "", "", true,
+                                    "Failure domain in which this host runs."},
+                                   parse_name,
+                                   [](session_settings& settings, std::string value) {
+                                       settings.domain.value = std::move(value);
+                                   }),
         address_key("host", "caller_listen", true, true, &session_settings::caller_listen,
                     "Address for callers' sessions."),
         address_key("host", "ready_listen", true, true, &session_settings::ready_listen,
@@ -120,12 +98,12 @@
                   "Longest wait for an answer of the registry."),
         range_key("targets", "drain_ms", "ms", initial.target_drain.count(), 100, one_minute_ms,
                   &session_settings::target_drain, "Notice that a target gives before it stops."),
-        session_text_key({"log", "level", "debug, info, warning or error", "", "", "info", false,
-                          "Lowest level of events that are logged."},
-                         parse_level,
-                         [](session_settings& settings, core::log_event::level value) {
-                             settings.log_level = value;
-                         }),
+        text_key<session_settings>({"log", "level", "debug, info, warning or error", "", "", "info",
+                                    false, "Lowest level of events that are logged."},
+                                   parse_level,
+                                   [](session_settings& settings, core::log_event::level value) {
+                                       settings.log_level = value;
+                                   }),
     };
 }
 
--- a/packages/settings/src/value_parser.hpp
+++ b/packages/settings/src/value_parser.hpp
@@ -3,6 +3,8 @@
 #include <lovagemoor/core/action.hpp>
 #include <lovagemoor/settings/host_settings.hpp>
 
+#include <boost/outcome/try.hpp>
+
 #include <charconv>
 #include <concepts>
 #include <string>
@@ -35,6 +37,17 @@
     return number;
 }
 
+/// @param range The limits as text, for the error's reason.
+template <typename Number>
+[[nodiscard]] result<Number> parse_in_range(const std::string& text, Number lowest, Number highest,
+                                            const std::string& range) {
+    BOOST_OUTCOME_TRY(number, parse_number<Number>(text));
+    if (!(number >= lowest && number <= highest)) {
+        return value_error(settings_error_kind::out_of_range, text + " is not from " + range);
+    }
+    return number;
+}
+
 /// @brief Accepts 1 to 64 letters, digits, '.', '_' and '-', which need no escapes in the
 /// platform's keys and in lists.
 [[nodiscard]] result<std::string> parse_name(const std::string& text);
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -270,15 +270,15 @@
     // Results for a follower that was dropped meanwhile are dropped with it.
     const auto after =
         [this, weak = std::weak_ptr<proxy::registry_follower>{follower}](const auto& digest) {
-            const std::shared_ptr<proxy::registry_follower> source = weak.lock();
-            if (source == nullptr) {
-                return;
+            if (const std::shared_ptr<proxy::registry_follower> source = weak.lock()) {
+                const bool was_connected = source->connected();
+                const proxy::registry_follower::update update = digest(*source);
+                note_connection(*source, was_connected);
+                apply(*source, update);
+            }
+            if (const std::shared_ptr<proxy::registry_follower> still_followed = weak.lock()) {
+                follow(still_followed);
             }
-            const bool was_connected = source->connected();
-            const proxy::registry_follower::update update = digest(*source);
-            note_connection(*source, was_connected);
-            apply(*source, update);
-            follow(source);
         };
     std::visit(core::overloaded{
                    [&](const proxy::list_items& value) {
--- a/standins/session/src/standin_store.cpp
+++ b/standins/session/src/standin_store.cpp
@@ -1,10 +1,9 @@
 #include <lovagemoor/session_standins/standin_store.hpp>
 
-#include <nlohmann/json.hpp>
+#include <lovagemoor/gateway/base64.hpp>
 
-#include <openssl/evp.h>
+#include <nlohmann/json.hpp>
 
-#include <stdexcept>
 #include <utility>
 
 namespace lovagemoor::session_standins {
@@ -15,15 +14,6 @@
 
 using json = nlohmann::json;
 
-std::string to_base64(const std::string& bytes) {
-    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                                       reinterpret_cast<const unsigned char*>(bytes.data()),
-                                       static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(length));
-    return text;
-}
-
 /// @return The value of a query parameter, without decoding; empty if it is missing.
 std::string parameter(const std::string& target, const std::string& name) {
     const std::size_t query = target.find('?');
@@ -60,7 +50,7 @@
 }
 
 void standin_store::put(const std::string& key, const std::string& value) {
-    items_[key] = item{internal::to_base64(value), ++revision_, 0, false};
+    items_[key] = item{gateway::encode_base64(value), ++revision_, 0, false};
 }
 
 void standin_store::end_leases() {
