--- a/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
@@ -87,6 +87,17 @@
     std::chrono::milliseconds duration{0};
 };
 
+/// @brief Publishes a demotion in the registry, where all hosts follow it. Answered by
+/// demotion_publish_answered.
+struct publish_demotion {
+    primary_demotion demotion;
+    /// The demotion is only published while this host holds the promotion lock with this token.
+    std::uint64_t fencing_token = 0;
+};
+
+/// @brief Lists the announced demotions, then follows further ones. Answered by demotions_listed.
+struct list_demotions {};
+
 /// @brief Promotes a target to primary of its service. Answered by promotion_answered.
 struct promote_target {
     core::service_id service;
@@ -107,8 +118,9 @@
 using action =
     std::variant<accept_session, reject_session, answer_statement, close_session, open_target,
                  send_commands, close_target, publish_suspicion, withdraw_suspicion,
-                 follow_promotions, acquire_promotion_lock, promote_target, set_ready, stop_process,
-                 core::log_event, core::count_metric, core::observe_duration>;
+                 follow_promotions, acquire_promotion_lock, publish_demotion, list_demotions,
+                 promote_target, set_ready, stop_process, core::log_event, core::count_metric,
+                 core::observe_duration>;
 
 using action_list = std::vector<action>;
 
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -178,6 +178,30 @@
     promotion_result result = promotion_result::unknown;
 };
 
+/// @brief A primary that its service is about to lose. It must not be used in terms below the given
+/// one, even if it still considers itself the primary.
+struct primary_demotion {
+    core::service_id service;
+    core::target_id target;
+    core::term_number term = 0;
+};
+
+/// @brief A host published a demotion in the registry.
+struct demotion_announced {
+    primary_demotion demotion;
+};
+
+/// @brief All demotions that hosts announced, listed in answer to list_demotions.
+struct demotions_listed {
+    std::vector<primary_demotion> demotions;
+};
+
+/// @brief Result of publishing a demotion.
+struct demotion_publish_answered {
+    primary_demotion demotion;
+    bool published = false;
+};
+
 /// @}
 
 /// @brief The process was asked to stop.
@@ -192,6 +216,7 @@
                  target_changed, target_removed, hosts_listed, suspicions_listed,
                  suspicion_reported, suspicion_withdrawn, suspicion_publish_failed,
                  promotion_lock_answered, promotion_lock_taken, promotion_lock_released,
-                 promotion_answered, registry_reachable, stop_requested, timer_expired>;
+                 promotion_answered, demotion_announced, demotions_listed,
+                 demotion_publish_answered, registry_reachable, stop_requested, timer_expired>;
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -76,10 +76,12 @@
         std::optional<core::time_point> removed_at;
     };
 
-    /// @brief A status command that waits for an idle connection.
+    /// @brief A status command, or one that is answered like it, that waits for an idle connection.
     struct pending_inspection {
         core::target_id target;
-        core::term_number hold_term = 0;
+        command_kind kind = command_kind::status;
+        /// Argument of hold_replication and step_down.
+        core::term_number term = 0;
         core::time_point until;
     };
 
@@ -104,6 +106,9 @@
     void on(const promotion_lock_taken& input);
     void on(const promotion_lock_released& input);
     void on(const promotion_answered& input);
+    void on(const demotion_announced& input);
+    void on(const demotions_listed& input);
+    void on(const demotion_publish_answered& input);
     void on(const stop_requested& input);
     void on(const timer_expired& input);
 
@@ -133,6 +138,7 @@
     [[nodiscard]] std::optional<core::duration>
     primary_outage_time(const service_state& state) const;
     void dispatch_waiting(const core::service_id& service);
+    void dispatch_all_waiting();
     void refuse_unservable(const core::service_id& service);
     [[nodiscard]] waiting_request waiting_request_of(const session& caller);
     void record_service_time(service_state& state, core::duration service_time);
@@ -143,6 +149,9 @@
     [[nodiscard]] std::optional<replication_position>
     required_position(const session& caller) const;
     [[nodiscard]] bool needs_primary(const session& caller) const;
+    /// @return False if the primary and this host may have been cut off together from the other
+    /// failure domains for so long that another target leads at the given time.
+    [[nodiscard]] bool primary_lease_valid(const target_state& primary, core::time_point at) const;
     [[nodiscard]] bool usable(const target_state& target) const;
     target_connection* acquire_connection(session& caller, target_state& target);
     /// @return 0 if no further connection may be opened.
@@ -175,8 +184,10 @@
     void drop_connection(core::connection_id id);
     void on_connection_lost(const target_connection& connection, bool was_open);
     void on_target_contact(const core::target_id& target);
+    void record_outside_contact(const core::target_id& target, core::time_point sent);
     void on_target_failure(const core::target_id& target, core::time_point since);
-    void confirm_primary(const core::target_id& target, core::time_point sent,
+    /// @return False if the target is a former primary that has not noticed its replacement.
+    bool confirm_primary(const core::target_id& target, core::time_point sent,
                          replication_position position);
     void refute_primary(const core::target_id& target);
     void record_latency(target_state& target, core::duration taken);
@@ -224,7 +235,14 @@
     void update_observers(const core::service_id& id, service_state& state);
     void update_suspicion(const core::service_id& id, service_state& state);
     void forget_removed_hosts();
+    void inspect_target(const core::target_id& target, command_kind kind, core::term_number term);
     void send_pending_inspections();
+    void apply_demotion(const primary_demotion& demotion);
+    void demote_former_primaries(const core::service_id& service, const core::target_id& primary);
+    /// @return True if the target's reply shows that it no longer leads or may no longer be used as
+    /// the primary.
+    [[nodiscard]] bool superseded(const core::target_id& target,
+                                  const statement_result& result) const;
 
     void log_request(const char* name, const session& caller, std::string reason);
     void log_if_objective_missed(const session& caller);
@@ -260,6 +278,12 @@
     std::optional<core::time_point> stopping_since_;
     /// Time since which this host reaches no target outside its own failure domain.
     std::optional<core::time_point> isolated_since_;
+    /// Latest time at which a command was sent that a target in another failure domain answered.
+    core::time_point last_outside_contact_;
+    /// Demotions may have been announced that this host does not know.
+    bool demotions_outdated_ = true;
+    /// This host keeps connections to targets in other failure domains.
+    bool has_outside_connections_ = false;
     core::time_point last_periodic_run_;
     /// Time of the first event.
     std::optional<core::time_point> started_at_;
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
@@ -55,6 +55,10 @@
     std::chrono::milliseconds preconnect_pause{200};
     /// Interval between probes of all targets while a service has no known primary.
     std::chrono::milliseconds search_interval{150};
+    /// Time after the last contact with another failure domain for which a primary may be used. It
+    /// ends before hosts in other failure domains can have replaced the primary: they suspect it
+    /// after suspicion_delay, and the failover waits for failover_settings::publication_delay.
+    std::chrono::milliseconds primary_lease{500};
     /// A primary that has failed for this long is suspected to be lost.
     std::chrono::milliseconds suspicion_delay{300};
     /// Time for which a host watches failure reports and the promotion lock after it was last
--- a/packages/proxy/include/lovagemoor/proxy/promotion/failover_coordinator.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/promotion/failover_coordinator.hpp
@@ -52,6 +52,19 @@
     std::chrono::milliseconds lock_retry_pause{250};
     /// Time to wait for the positions of further replicas once one is known.
     std::chrono::milliseconds inspection_time{150};
+    /// Interval at which the positions are queried again until the promotion is called.
+    std::chrono::milliseconds inspection_interval{50};
+    /// Time for a primary that announced its end to acknowledge its demotion before the demotion is
+    /// published.
+    std::chrono::milliseconds demotion_time{150};
+    /// Delay between the publication of a demotion and the promotion. Within this time every host
+    /// that can reach the registry has learned of the demotion: a watch is answered within
+    /// milliseconds, and even a host with a twelfth of a core processes it within 100 ms.
+    std::chrono::milliseconds publication_delay{300};
+    /// Delay before a demotion that could not be published is published again.
+    std::chrono::milliseconds publication_retry{200};
+    /// Maximum time for a replica to receive the last commits of a demoted primary.
+    std::chrono::milliseconds catch_up_time{300};
     /// Timeout for the first position.
     std::chrono::milliseconds inspection_limit{600};
     /// Delay before a promotion call without an answer is repeated.
@@ -68,6 +81,18 @@
     core::term_number hold_term = 0;
 };
 
+/// @brief Makes the former primary a replica, if this host reaches it. A primary may otherwise
+/// continue to accept writes after another target was promoted.
+struct demote_primary {
+    primary_demotion demotion;
+};
+
+/// @brief Tells all hosts to stop using the former primary and to demote it if they reach it.
+struct announce_demotion {
+    primary_demotion demotion;
+    std::uint64_t fencing_token = 0;
+};
+
 struct call_promotion {
     core::service_id service;
     core::target_id target;
@@ -78,7 +103,8 @@
     std::chrono::milliseconds duration{0};
 };
 
-using failover_step = std::variant<request_promotion_lock, inspect_replicas, call_promotion>;
+using failover_step = std::variant<request_promotion_lock, inspect_replicas, demote_primary,
+                                   announce_demotion, call_promotion>;
 
 /// @}
 
@@ -86,9 +112,15 @@
 ///
 /// The hosts have no permanent leader. A host that detects the need for a failover acquires the
 /// promotion lock in the registry; the revision of the lock is the fencing token of its calls. The
-/// host then queries the replicas for their positions and promotes the one with the most complete
-/// log. A call without an answer is repeated for the same target with the same token, because the
-/// first call may still be executed.
+/// host then queries the replicas for their positions.
+///
+/// A primary may continue to accept writes after another target was promoted. Before the call, the
+/// former primary is therefore demoted: either it acknowledges the demotion, or the demotion is
+/// published and every host has had time to stop using it. In the first case no commit is lost: the
+/// host waits until a replica has received the last one.
+///
+/// The replica with the most complete log is promoted. A call without an answer is repeated for the
+/// same target with the same token, because the first call may still be executed.
 class failover_coordinator {
 public:
     failover_coordinator() = default;
@@ -107,8 +139,9 @@
     /// @brief The promotion lock of this or another host has ended.
     void on_promotion_lock_released(const promotion_lock_released& end);
 
-    void on_status(const core::service_id& service, const core::target_id& target,
-                   const target_status& status);
+    void on_status(core::time_point now, const core::service_id& service,
+                   const core::target_id& target, const target_status& status);
+    void on_demotion_published(core::time_point now, const demotion_publish_answered& answer);
     void on_promotion(core::time_point now, const promotion_answered& answer);
 
     /// @brief A target proved that it is the primary.
@@ -123,12 +156,28 @@
     [[nodiscard]] bool requests_or_holds_promotion_lock(core::time_point now) const;
 
 private:
-    enum class stage : std::uint8_t { inspecting, calling, taking_over };
+    enum class stage : std::uint8_t { inspecting, demoting, calling, taking_over };
 
     struct attempt {
         stage current_stage = stage::inspecting;
         core::time_point started_at;
+        promotion_cause cause = promotion_cause::none;
+        /// Empty if no primary is known.
         core::target_id former_primary;
+        core::time_point inspected_at;
+        core::term_number demotion_term = 0;
+        /// Highest term that a target reported.
+        core::term_number newest_term = 0;
+        /// Highest term in which a target other than the former primary reported to lead.
+        core::term_number leading_term = 0;
+        core::time_point demoting_since;
+        /// Last position of the former primary, once it has acknowledged its demotion.
+        std::optional<replication_position> final_position;
+        core::time_point final_position_at;
+        /// Time of the last attempt to publish the demotion.
+        std::optional<core::time_point> announced_at;
+        /// Time at which the registry acknowledged the publication.
+        std::optional<core::time_point> published_at;
         std::map<core::target_id, target_status> positions;
         std::set<core::target_id> rejected;
         core::target_id chosen;
@@ -139,6 +188,18 @@
                std::vector<failover_step>& steps);
     void advance_attempt(core::time_point now, const failover_input& input, attempt& current,
                          std::vector<failover_step>& steps);
+    void advance_inspection(core::time_point now, const failover_input& input, attempt& current,
+                            std::vector<failover_step>& steps);
+    void advance_demotion(core::time_point now, const failover_input& input, attempt& current,
+                          std::vector<failover_step>& steps);
+    void inspect(core::time_point now, const failover_input& input, attempt& current,
+                 std::vector<failover_step>& steps) const;
+    /// @return True if no commit can be acknowledged by the former primary any more.
+    [[nodiscard]] bool is_demoted(core::time_point now, const attempt& current) const;
+    /// @return True if the candidate has received every commit of the former primary, as far as
+    /// they are known.
+    [[nodiscard]] static bool has_caught_up(const failover_input& input, const attempt& current,
+                                            const core::target_id& candidate);
     [[nodiscard]] std::optional<core::target_id> choose(const failover_input& input,
                                                         const attempt& current) const;
     [[nodiscard]] bool inspection_done(core::time_point now, const failover_input& input,
--- a/packages/proxy/include/lovagemoor/proxy/routing/primary_view.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/routing/primary_view.hpp
@@ -2,6 +2,7 @@
 
 #include <lovagemoor/core/ids.hpp>
 
+#include <map>
 #include <optional>
 #include <set>
 
@@ -15,7 +16,8 @@
     /// @brief The registry reports whether a target considers itself the primary.
     void on_claim(const core::target_id& target, bool claims);
 
-    /// @brief A target proved that it is the primary.
+    /// @brief A target proved that it considers itself the primary. It may be a former one, so
+    /// another target is only replaced by one of a higher term.
     /// @return True if this changes the primary.
     bool on_confirmed(const core::target_id& target, core::term_number term);
 
@@ -23,6 +25,22 @@
     /// @return True if the target was considered the primary.
     bool on_refuted(const core::target_id& target);
 
+    /// @brief A target must not lead in terms below the given one, even if it claims to.
+    /// @return True if the target was considered the primary.
+    bool on_demoted(const core::target_id& target, core::term_number term);
+
+    /// @brief A target leads in the given term, so an earlier demotion no longer concerns it.
+    void on_leading(const core::target_id& target, core::term_number current_term);
+
+    /// @return True if the target was demoted and not promoted since, as far as this host knows.
+    [[nodiscard]] bool demoted(const core::target_id& target) const {
+        return demoted_.contains(target);
+    }
+
+    /// @return True if an answer that a target gave as the primary of a term must not be used:
+    /// another target has led since, or the target was demoted.
+    [[nodiscard]] bool superseded(const core::target_id& target, core::term_number term) const;
+
     /// @brief A target was removed.
     void on_removed(const core::target_id& target);
 
@@ -44,6 +62,8 @@
     bool confirmed_ = false;
     core::term_number term_ = 0;
     std::set<core::target_id> claimants_;
+    /// Lowest term in which a demoted target may lead again.
+    std::map<core::target_id, core::term_number> demoted_;
 };
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/include/lovagemoor/proxy/target/target_command.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/target/target_command.hpp
@@ -27,6 +27,8 @@
     status,
     /// Pauses replication into a replica until it is promoted or released.
     hold_replication,
+    /// Makes a primary of a lower term a replica.
+    step_down,
     /// @}
 };
 
@@ -40,7 +42,8 @@
     std::string argument;
     /// The command only runs if the target's log includes this position.
     std::optional<replication_position> required_position;
-    /// hold_replication: a term greater than all terms in use.
+    /// hold_replication: a term greater than all terms in use. step_down: a term greater than that
+    /// of the primary.
     core::term_number term = 0;
 };
 
--- a/packages/proxy/include/lovagemoor/proxy/target/target_reply.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/target/target_reply.hpp
@@ -16,6 +16,8 @@
     core::term_number term_held = 0;
     /// Delay with which the target applies the log of the primary.
     std::chrono::milliseconds lag{0};
+    /// Term in which the target leads or follows.
+    core::term_number term = 0;
 };
 
 /// @brief A target's complete reply to a command.
--- a/packages/proxy/src/engine/session_engine_promotion.cpp
+++ b/packages/proxy/src/engine/session_engine_promotion.cpp
@@ -197,39 +197,123 @@
         inputs.push_back(failover_input_of(id, state));
     }
     for (const failover_step& step : failover_coordinator_.advance(now_, inputs)) {
-        std::visit(core::overloaded{
-                       [this](const request_promotion_lock& request) {
-                           log(core::log_event::level::info, "duty_requested", {});
-                           out_.emplace_back(acquire_promotion_lock{request.duration});
-                       },
-                       [this](const inspect_replicas& request) {
-                           for (const target_state* const target :
-                                pool_.of_service(request.service)) {
-                               pending_inspections_.push_back({target->record.id, request.hold_term,
-                                                               now_ + settings_.connect_timeout});
-                           }
-                           send_pending_inspections();
-                       },
-                       [this](const call_promotion& request) {
-                           log(core::log_event::level::warning, "promotion_called",
-                               {{"service", request.service.value},
-                                {"target", request.target.value},
-                                {"fencing_token", std::to_string(request.fencing_token)}});
-                           out_.emplace_back(promote_target{request.service, request.target,
-                                                            request.fencing_token});
-                       },
-                   },
-                   step);
+        std::visit(
+            core::overloaded{
+                [this](const request_promotion_lock& request) {
+                    log(core::log_event::level::info, "duty_requested", {});
+                    out_.emplace_back(acquire_promotion_lock{request.duration});
+                },
+                [this](const inspect_replicas& request) {
+                    const command_kind kind = request.hold_term > 0 ? command_kind::hold_replication
+                                                                    : command_kind::status;
+                    const std::optional<core::target_id>& primary =
+                        services_[request.service].view.primary();
+                    for (const target_state* const target : pool_.of_service(request.service)) {
+                        if (target->record.id != primary) {
+                            inspect_target(target->record.id, kind, request.hold_term);
+                        }
+                    }
+                    send_pending_inspections();
+                },
+                [this](const demote_primary& request) {
+                    inspect_target(request.demotion.target, command_kind::step_down,
+                                   request.demotion.term);
+                    send_pending_inspections();
+                },
+                [this](const announce_demotion& request) {
+                    log(core::log_event::level::warning, "demotion_announced",
+                        {{"service", request.demotion.service.value},
+                         {"target", request.demotion.target.value},
+                         {"term", std::to_string(request.demotion.term)}});
+                    out_.emplace_back(publish_demotion{request.demotion, request.fencing_token});
+                },
+                [this](const call_promotion& request) {
+                    log(core::log_event::level::warning, "promotion_called",
+                        {{"service", request.service.value},
+                         {"target", request.target.value},
+                         {"fencing_token", std::to_string(request.fencing_token)}});
+                    out_.emplace_back(
+                        promote_target{request.service, request.target, request.fencing_token});
+                },
+            },
+            step);
     }
     update_promotion_following();
 }
 
+void session_engine::inspect_target(const core::target_id& target, command_kind kind,
+                                    core::term_number term) {
+    const bool pending = std::any_of(pending_inspections_.begin(), pending_inspections_.end(),
+                                     [&](const pending_inspection& inspection) {
+                                         return inspection.target == target &&
+                                                inspection.kind == kind && inspection.term == term;
+                                     });
+    if (!pending) {
+        pending_inspections_.push_back({target, kind, term, now_ + settings_.connect_timeout});
+    }
+}
+
+void session_engine::demote_former_primaries(const core::service_id& service,
+                                             const core::target_id& primary) {
+    service_state& state = services_[service];
+    update_observers(service, state);
+    if (!state.observers.contains(settings_.host)) {
+        return;
+    }
+    for (const target_state* const target : pool_.of_service(service)) {
+        if (target->record.claims_primary && target->record.id != primary &&
+            !target->removed_at.has_value()) {
+            inspect_target(target->record.id, command_kind::step_down, state.view.term());
+        }
+    }
+    send_pending_inspections();
+}
+
+void session_engine::on(const demotion_announced& input) {
+    apply_demotion(input.demotion);
+}
+
+void session_engine::on(const demotions_listed& input) {
+    for (const primary_demotion& demotion : input.demotions) {
+        apply_demotion(demotion);
+    }
+    demotions_outdated_ = false;
+    dispatch_all_waiting();
+}
+
+void session_engine::apply_demotion(const primary_demotion& demotion) {
+    service_state& state = services_[demotion.service];
+    if (state.view.superseded(demotion.target, demotion.term - 1) &&
+        state.view.primary() != demotion.target) {
+        return;
+    }
+    const bool was_primary = state.view.on_demoted(demotion.target, demotion.term);
+    log(core::log_event::level::info, "demotion_received",
+        {{"service", demotion.service.value},
+         {"target", demotion.target.value},
+         {"term", std::to_string(demotion.term)},
+         {"was_primary", was_primary ? "true" : "false"}});
+    update_observers(demotion.service, state);
+    if (state.observers.contains(settings_.host)) {
+        inspect_target(demotion.target, command_kind::step_down, demotion.term);
+        send_pending_inspections();
+    }
+    dispatch_waiting(demotion.service);
+}
+
+void session_engine::on(const demotion_publish_answered& input) {
+    failover_coordinator_.on_demotion_published(now_, input);
+    if (input.published) {
+        apply_demotion(input.demotion);
+    }
+    advance_failovers();
+}
+
 void session_engine::send_pending_inspections() {
     std::vector<pending_inspection> waiting;
     for (const pending_inspection& inspection : std::exchange(pending_inspections_, {})) {
         target_state* const target = pool_.find(inspection.target);
-        if (target == nullptr || now_ > inspection.until ||
-            services_[target->record.service].view.primary() == inspection.target) {
+        if (target == nullptr || now_ > inspection.until) {
             continue;
         }
         target_connection* const connection = pool_.acquire(*target, 0, now_);
@@ -240,9 +324,8 @@
             waiting.push_back(inspection);
             continue;
         }
-        const command_kind kind =
-            inspection.hold_term > 0 ? command_kind::hold_replication : command_kind::status;
-        send(*connection, {target_command{kind, {}, {}, {}, std::nullopt, inspection.hold_term}},
+        send(*connection,
+             {target_command{inspection.kind, {}, {}, {}, std::nullopt, inspection.term}},
              reply_role::inspection);
     }
     pending_inspections_ = std::move(waiting);
--- a/packages/proxy/src/engine/session_engine_replies.cpp
+++ b/packages/proxy/src/engine/session_engine_replies.cpp
@@ -62,6 +62,7 @@
     const expected_reply expected = connection->expected.front();
     connection->expected.pop_front();
     on_target_contact(connection->target);
+    record_outside_contact(connection->target, expected.sent);
     const statement_result& result = input.reply.result;
     const auto user = sessions_.find(connection->user);
     session* const caller = user != sessions_.end() && user->second.current.has_value() &&
@@ -96,8 +97,15 @@
         break;
     case reply_role::inspection:
         if (input.reply.status.has_value()) {
-            if (const target_state* const target = pool_.find(connection->target)) {
-                failover_coordinator_.on_status(target->record.service, connection->target,
+            const core::target_id inspected = connection->target;
+            if (!input.reply.status->primary) {
+                refute_primary(inspected);
+            } else if (const target_state* const target = pool_.find(inspected)) {
+                services_[target->record.service].view.on_leading(inspected,
+                                                                  input.reply.status->term);
+            }
+            if (const target_state* const target = pool_.find(inspected)) {
+                failover_coordinator_.on_status(now_, target->record.service, inspected,
                                                 *input.reply.status);
                 advance_failovers();
             }
@@ -139,9 +147,9 @@
                                          const statement_result& result) {
     const core::target_id target = connection.target;
     const core::connection_id id = connection.id;
-    const bool leads = !result.error.has_value() && result.position.has_value();
+    bool leads = !result.error.has_value() && result.position.has_value();
     if (leads) {
-        confirm_primary(target, expected.sent, *result.position);
+        leads = confirm_primary(target, expected.sent, *result.position);
     } else if (result.error.has_value() && result.error->kind == statement_error_kind::read_only) {
         refute_primary(target);
     }
@@ -169,8 +177,13 @@
     const core::target_id target = connection.target;
     const bool on_primary = caller.current->check_leadership;
     if (!result.error.has_value()) {
-        if (on_primary && result.position.has_value()) {
-            confirm_primary(target, expected.sent, *result.position);
+        if (on_primary && result.position.has_value() &&
+            !confirm_primary(target, expected.sent, *result.position)) {
+            send(connection, {target_command{command_kind::rollback, {}, {}, {}, {}, 0}},
+                 reply_role::release);
+            retry_or_refuse(caller, target,
+                            {statement_error_kind::busy, "no longer the primary", std::nullopt});
+            return;
         }
         caller.transaction->connection = connection.id;
         caller.transaction->target = target;
@@ -226,6 +239,11 @@
             retry_or_refuse(caller, connection.target, *result.error);
             return;
         }
+    } else if (work.writes && superseded(connection.target, result)) {
+        const session_id id = caller.id;
+        refuse(caller, {statement_error_kind::in_doubt, "written to a former primary", {}});
+        process_backlog(id);
+        return;
     } else if (work.writes && result.position.has_value()) {
         confirm_primary(connection.target, work.sent, *result.position);
     }
@@ -278,6 +296,11 @@
     }
     ++caller.transaction->answered;
     const bool ended = work.work.kind == statement_kind::commit;
+    if (ended && !caller.transaction->read_only && superseded(connection.target, result)) {
+        refuse(caller, {statement_error_kind::in_doubt, "committed at a former primary", {}});
+        process_backlog(id);
+        return;
+    }
     if (ended) {
         if (result.position.has_value()) {
             caller.seen = result.position;
@@ -388,6 +411,19 @@
     }
 }
 
+void session_engine::record_outside_contact(const core::target_id& id, core::time_point sent) {
+    const target_state* const target = pool_.find(id);
+    if (target == nullptr || target->record.domain == settings_.domain) {
+        return;
+    }
+    if (sent - last_outside_contact_ > settings_.primary_lease) {
+        // Demotions announced in the meantime may not have reached this host.
+        demotions_outdated_ = true;
+        out_.emplace_back(list_demotions{});
+    }
+    last_outside_contact_ = std::max(last_outside_contact_, sent);
+}
+
 void session_engine::on_target_failure(const core::target_id& id, core::time_point since) {
     target_state* const target = pool_.find(id);
     if (target == nullptr) {
@@ -403,19 +439,38 @@
     }
 }
 
-void session_engine::confirm_primary(const core::target_id& target, core::time_point sent,
+bool session_engine::superseded(const core::target_id& target,
+                                const statement_result& result) const {
+    const auto state = pool_.targets().find(target);
+    if (state == pool_.targets().end() || !result.position.has_value()) {
+        return false;
+    }
+    const auto service = services_.find(state->second.record.service);
+    return service != services_.end() &&
+           (!primary_lease_valid(state->second, now_) ||
+            service->second.view.superseded(target, result.position->term));
+}
+
+bool session_engine::confirm_primary(const core::target_id& target, core::time_point sent,
                                      replication_position position) {
     const target_state* const state = pool_.find(target);
     if (state == nullptr) {
-        return;
+        return false;
     }
     const core::service_id service_name = state->record.service;
     service_state& service = services_[service_name];
     const bool was_confirmed = service.view.confirmed();
     const bool first_bound = !service.checks.newest().has_value();
+    if (!primary_lease_valid(*state, sent)) {
+        return false;
+    }
     const bool changed = service.view.on_confirmed(target, position.term);
-    if (service.view.primary() != target) {
-        return;
+    if (service.view.primary() != target || service.view.superseded(target, position.term)) {
+        if (service.view.demoted(target)) {
+            // Positions carry the term of the last commit, which may precede the current term.
+            inspect_target(target, command_kind::status, 0);
+        }
+        return false;
     }
     service.checks.record(sent, position);
     service.primary_contact = now_;
@@ -428,9 +483,13 @@
              {"term", std::to_string(position.term)},
              {"position", std::to_string(position.index)}});
     }
+    if (changed) {
+        demote_former_primaries(service_name, target);
+    }
     if (changed || first_bound || !service.waiting.empty()) {
         dispatch_waiting(service_name);
     }
+    return true;
 }
 
 void session_engine::refute_primary(const core::target_id& target) {
--- a/packages/proxy/src/engine/session_engine_requests.cpp
+++ b/packages/proxy/src/engine/session_engine_requests.cpp
@@ -63,6 +63,12 @@
     return caller.transaction.has_value() && !caller.transaction->read_only;
 }
 
+bool session_engine::primary_lease_valid(const target_state& primary, core::time_point at) const {
+    // A primary in another failure domain is itself a contact there.
+    return primary.record.domain != settings_.domain || !has_outside_connections_ ||
+           (!demotions_outdated_ && at - last_outside_contact_ <= settings_.primary_lease);
+}
+
 bool session_engine::usable(const target_state& target) const {
     if (target.removed_at.has_value()) {
         return now_ - *target.removed_at < settings_.removal_grace;
@@ -93,6 +99,7 @@
             local[target.record.service].push_back(id);
         }
     }
+    has_outside_connections_ = false;
     for (auto& [id, target] : pool_.targets()) {
         const core::service_id& service = target.record.service;
         const std::vector<core::target_id>& closest_replicas =
@@ -106,6 +113,9 @@
         priority.rank = connection_rank(settings_.host, id);
         priority.starting = starting_;
         target.min_connections = min_connections(limit_of(target), priority);
+        has_outside_connections_ = has_outside_connections_ ||
+                                   (target.min_connections > 0 && !target.removed_at.has_value() &&
+                                    target.record.domain != settings_.domain);
     }
     min_connections_outdated_ = false;
 }
@@ -115,7 +125,15 @@
     work.phase = request_phase::waiting;
     if (caller.transaction.has_value() && caller.transaction->connection.has_value()) {
         target_connection* const pinned = pool_.find(*caller.transaction->connection);
-        if (pinned != nullptr) {
+        const target_state* const primary = pinned != nullptr &&
+                                                    work.work.kind == statement_kind::commit &&
+                                                    !caller.transaction->read_only
+                                                ? pool_.find(pinned->target)
+                                                : nullptr;
+        if (primary != nullptr && !primary_lease_valid(*primary, now_)) {
+            refuse(caller, {statement_error_kind::aborted, "the primary may have been replaced",
+                            std::nullopt});
+        } else if (pinned != nullptr) {
             run_on(caller, *pinned);
         }
         return;
@@ -159,7 +177,8 @@
     }
     const std::optional<core::target_id>& primary = service.view.primary();
     const target_state* const target = primary_of(service);
-    if (target == nullptr || !usable(*target) || primary_outage_time(service).has_value()) {
+    if (target == nullptr || !usable(*target) || !primary_lease_valid(*target, now_) ||
+        primary_outage_time(service).has_value()) {
         work.waits_for = wait_reason::primary;
         return std::nullopt;
     }
@@ -295,6 +314,14 @@
     refuse_unservable(service);
 }
 
+void session_engine::dispatch_all_waiting() {
+    for (const auto& [service, state] : services_) {
+        if (!state.waiting.empty()) {
+            dispatch_waiting(service);
+        }
+    }
+}
+
 void session_engine::refuse_unservable(const core::service_id& service) {
     service_state& state = services_[service];
     std::vector<session_id> unservable;
--- a/packages/proxy/src/promotion/failover_coordinator.cpp
+++ b/packages/proxy/src/promotion/failover_coordinator.cpp
@@ -1,6 +1,7 @@
 #include <lovagemoor/proxy/promotion/failover_coordinator.hpp>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace lovagemoor::proxy {
@@ -41,34 +42,48 @@
     }
     attempt& current = attempts_[input.service];
     current.started_at = now;
+    current.cause = input.cause;
     current.former_primary = input.primary.value_or(core::target_id{});
+    current.demotion_term = input.term + 1;
+    inspect(now, input, current, steps);
+}
+
+void failover_coordinator::inspect(core::time_point now, const failover_input& input,
+                                   attempt& current, std::vector<failover_step>& steps) const {
+    current.inspected_at = now;
     const core::term_number hold = input.synchronous_replicas > 0 ? input.term + 1 : 0;
     steps.emplace_back(inspect_replicas{input.service, hold});
 }
 
 bool failover_coordinator::inspection_done(core::time_point now, const failover_input& input,
                                            const attempt& current) const {
-    const core::duration waited = now - current.started_at;
+    std::size_t candidates = 0;
+    std::size_t known = 0;
+    for (const promotion_candidate& candidate : input.replicas) {
+        if (candidate.target != current.former_primary) {
+            ++candidates;
+            known += current.positions.contains(candidate.target) ? 1 : 0;
+        }
+    }
     if (input.synchronous_replicas > 0) {
         // Every acknowledged commit is on at least synchronous_replicas of the replicas.
-        return current.positions.size() + input.synchronous_replicas > input.replicas.size();
-    }
-    if (current.positions.size() >= input.replicas.size()) {
-        return true;
+        return known + input.synchronous_replicas > candidates;
     }
-    return !current.positions.empty() && waited >= settings_.inspection_time;
+    return known >= candidates ||
+           (known > 0 && now - current.started_at >= settings_.inspection_time);
 }
 
 std::optional<core::target_id> failover_coordinator::choose(const failover_input& input,
                                                             const attempt& current) const {
     std::optional<core::target_id> best;
-    std::pair<bool, replication_position> best_rank;
+    std::tuple<bool, bool, replication_position> best_rank;
     for (const promotion_candidate& candidate : input.replicas) {
         const auto known = current.positions.find(candidate.target);
         if (known == current.positions.end() || current.rejected.contains(candidate.target)) {
             continue;
         }
-        const std::pair<bool, replication_position> rank{
+        const std::tuple<bool, bool, replication_position> rank{
+            candidate.target != current.former_primary,
             input.synchronous_replicas > 0 || !candidate.draining, known->second.received};
         if (!best.has_value() || rank > best_rank) {
             best = candidate.target;
@@ -85,31 +100,12 @@
         return;
     }
     switch (current.current_stage) {
-    case stage::inspecting: {
-        if (input.cause == promotion_cause::none ||
-            (current.positions.empty() && now - current.started_at > settings_.inspection_limit)) {
-            attempts_.erase(input.service);
-            return;
-        }
-        if (!inspection_done(now, input, current)) {
-            return;
-        }
-        const std::optional<core::target_id> chosen = choose(input, current);
-        if (!chosen.has_value()) {
-            if (!current.rejected.empty()) {
-                // Another host may have used a higher token, so calls with this one would be
-                // rejected.
-                fencing_token_.reset();
-            }
-            attempts_.erase(input.service);
-            return;
-        }
-        current.chosen = *chosen;
-        current.current_stage = stage::calling;
-        current.called_at = now;
-        steps.emplace_back(call_promotion{input.service, *chosen, *fencing_token_});
+    case stage::inspecting:
+        advance_inspection(now, input, current, steps);
+        return;
+    case stage::demoting:
+        advance_demotion(now, input, current, steps);
         return;
-    }
     case stage::calling:
         if (now - current.called_at >= settings_.call_retry) {
             current.called_at = now;
@@ -124,6 +120,83 @@
     }
 }
 
+void failover_coordinator::advance_inspection(core::time_point now, const failover_input& input,
+                                              attempt& current, std::vector<failover_step>& steps) {
+    if (input.cause == promotion_cause::none ||
+        (current.positions.empty() && now - current.started_at > settings_.inspection_limit)) {
+        attempts_.erase(input.service);
+        return;
+    }
+    // The primary is only demoted once there is a target that can replace it.
+    if (!inspection_done(now, input, current)) {
+        return;
+    }
+    if (current.leading_term > 0 && current.leading_term >= current.newest_term) {
+        // The service has a newer primary that this host did not know.
+        attempts_.erase(input.service);
+        return;
+    }
+    current.current_stage = stage::demoting;
+    current.demoting_since = now;
+    current.inspected_at = now;
+    if (!current.former_primary.value.empty()) {
+        steps.emplace_back(
+            demote_primary{{input.service, current.former_primary, current.demotion_term}});
+    }
+    advance_demotion(now, input, current, steps);
+}
+
+void failover_coordinator::advance_demotion(core::time_point now, const failover_input& input,
+                                            attempt& current, std::vector<failover_step>& steps) {
+    const std::optional<core::target_id> chosen = choose(input, current);
+    if (!chosen.has_value()) {
+        if (!current.rejected.empty()) {
+            // Another host may have used a higher token, so calls with this one would be
+            // rejected.
+            fencing_token_.reset();
+        }
+        attempts_.erase(input.service);
+        return;
+    }
+    const primary_demotion demotion{input.service, current.former_primary, current.demotion_term};
+    if (is_demoted(now, current) && (has_caught_up(input, current, *chosen) ||
+                                     now - current.final_position_at >= settings_.catch_up_time)) {
+        current.chosen = *chosen;
+        current.current_stage = stage::calling;
+        current.called_at = now;
+        steps.emplace_back(call_promotion{input.service, *chosen, *fencing_token_});
+        return;
+    }
+    // A lost primary is usually out of reach of this host, but others may still use it.
+    const bool publishes = current.cause != promotion_cause::primary_draining ||
+                           now - current.demoting_since >= settings_.demotion_time;
+    if (publishes && !current.final_position.has_value() && !current.published_at.has_value() &&
+        (!current.announced_at.has_value() ||
+         now - *current.announced_at >= settings_.publication_retry)) {
+        current.announced_at = now;
+        steps.emplace_back(announce_demotion{demotion, *fencing_token_});
+    }
+    if (now - current.inspected_at >= settings_.inspection_interval) {
+        inspect(now, input, current, steps);
+        if (!current.final_position.has_value() && !demotion.target.value.empty()) {
+            steps.emplace_back(demote_primary{demotion});
+        }
+    }
+}
+
+bool failover_coordinator::is_demoted(core::time_point now, const attempt& current) const {
+    return current.former_primary.value.empty() || current.final_position.has_value() ||
+           (current.published_at.has_value() &&
+            now - *current.published_at >= settings_.publication_delay);
+}
+
+bool failover_coordinator::has_caught_up(const failover_input& input, const attempt& current,
+                                         const core::target_id& candidate) {
+    // Replication into synchronous replicas is held, and each commit is on enough of them.
+    return !current.final_position.has_value() || input.synchronous_replicas > 0 ||
+           current.positions.at(candidate).received >= *current.final_position;
+}
+
 void failover_coordinator::on_promotion_lock_answered(core::time_point now,
                                                       const promotion_lock_answered& result) {
     lock_requested_ = false;
@@ -150,11 +223,36 @@
     }
 }
 
-void failover_coordinator::on_status(const core::service_id& service, const core::target_id& target,
-                                     const target_status& status) {
+void failover_coordinator::on_status(core::time_point now, const core::service_id& service,
+                                     const core::target_id& target, const target_status& status) {
     const auto found = attempts_.find(service);
-    if (found != attempts_.end() && !status.primary) {
-        found->second.positions[target] = status;
+    if (found == attempts_.end()) {
+        return;
+    }
+    attempt& current = found->second;
+    // Positions carry the term of the last commit, which may precede the current term.
+    current.newest_term = std::max(current.newest_term, status.term);
+    current.demotion_term = std::max(current.demotion_term, status.term + 1);
+    if (status.primary) {
+        if (target != current.former_primary) {
+            current.leading_term = std::max(current.leading_term, status.term);
+        }
+        return;
+    }
+    current.positions[target] = status;
+    if (target == current.former_primary && current.current_stage == stage::demoting &&
+        !current.final_position.has_value()) {
+        current.final_position = status.received;
+        current.final_position_at = now;
+    }
+}
+
+void failover_coordinator::on_demotion_published(core::time_point now,
+                                                 const demotion_publish_answered& answer) {
+    const auto found = attempts_.find(answer.demotion.service);
+    if (answer.published && found != attempts_.end() &&
+        found->second.former_primary == answer.demotion.target) {
+        found->second.published_at = now;
     }
 }
 
@@ -172,7 +270,7 @@
         break;
     case promotion_result::rejected:
         current.rejected.insert(answer.target);
-        current.current_stage = stage::inspecting;
+        current.current_stage = stage::demoting;
         break;
     case promotion_result::overloaded:
     case promotion_result::unknown:
@@ -185,7 +283,8 @@
 void failover_coordinator::on_primary(const core::service_id& service,
                                       const core::target_id& target) {
     const auto found = attempts_.find(service);
-    if (found != attempts_.end() && target != found->second.former_primary) {
+    if (found != attempts_.end() &&
+        (target != found->second.former_primary || target == found->second.chosen)) {
         attempts_.erase(found);
     }
 }
--- a/packages/proxy/test/engine/fake_cluster.hpp
+++ b/packages/proxy/test/engine/fake_cluster.hpp
@@ -22,8 +22,9 @@
 /// @brief Stand-in for a cluster of targets with terms, logs and replicas, in simulated time.
 ///
 /// Drives one session engine and checks what the targets run: reads see every required commit,
-/// writes take effect once, and statements run in the transaction and with the values of their own
-/// session. Violations of these rules are listed in violations().
+/// writes take effect once, statements run in the transaction and with the values of their own
+/// session, and no commit of a replaced primary is acknowledged. Violations of these rules are
+/// listed in violations().
 class fake_cluster {
 public:
     struct commit {
@@ -181,13 +182,16 @@
     }
 
     /// @brief Makes a target the primary of the next term, with its current log.
-    void promote(const core::target_id& id) {
-        core::term_number newest = 0;
-        for (auto& [other_id, other] : targets) {
-            newest = std::max(newest, other.term);
-        }
+    /// @param continuing A former primary that has not noticed its replacement and goes on.
+    void promote(const core::target_id& id,
+                 const std::optional<core::target_id>& continuing = std::nullopt) {
+        const core::term_number newest = newest_term();
+        leader_ = id;
         target& chosen = targets.at(id);
         for (auto& [other_id, other] : targets) {
+            if (other_id == continuing) {
+                continue;
+            }
             other.record.claims_primary = other_id == id;
             other.term = newest + 1;
             if (other.log.size() > chosen.log.size()) {
@@ -197,9 +201,49 @@
         for (acknowledged_commit& entry : acknowledged_) {
             entry.rolled_back = entry.rolled_back || entry.index >= chosen.log.size();
         }
+        if (!continuing.has_value()) {
+            list_targets();
+        }
+    }
+
+    /// @return The target that was promoted last.
+    [[nodiscard]] const core::target_id& leader() const noexcept { return leader_; }
+
+    /// @brief A former primary learns of its replacement and follows the current primary.
+    void follow(const core::target_id& id) {
+        target& former = targets.at(id);
+        const target& leader = targets.at(leader_);
+        former.record.claims_primary = id == leader_;
+        former.term = leader.term;
+        former.log = leader.log;
         list_targets();
     }
 
+    /// @return Highest term of all targets.
+    [[nodiscard]] core::term_number newest_term() const {
+        core::term_number newest = 0;
+        for (const auto& [id, known] : targets) {
+            newest = std::max(newest, known.term);
+        }
+        return newest;
+    }
+
+    /// @brief Another host announces a demotion. This host hears of it if it reaches the registry.
+    void announce(const core::target_id& id) {
+        demotions_.push_back({core::service_id{"s"}, id, newest_term() + 1});
+        if (registry_available) {
+            apply(demotion_announced{demotions_.back()});
+        }
+    }
+
+    /// @brief A caller of another host writes at the current primary.
+    void write_elsewhere() {
+        target& leader = targets.at(leader_);
+        append(leader, "other-" + std::to_string(++last_statement_));
+        acknowledged_.push_back(
+            {now_, leader.log.size() - 1, 0, false, leader.log.back().statement_id});
+    }
+
     void disconnect(const core::target_id& id) {
         std::vector<core::connection_id> lost;
         for (const auto& [link, state] : connections_) {
@@ -262,6 +306,8 @@
 
     std::map<core::target_id, target> targets;
     std::vector<host_record> hosts;
+    /// The registry answers this host.
+    bool registry_available = true;
 
 private:
     struct scheduled {
@@ -299,6 +345,7 @@
         std::size_t index = 0;
         session_id session = 0;
         bool rolled_back = false;
+        std::string statement_id;
     };
 
     static std::string text_of(statement_kind kind) {
@@ -329,11 +376,27 @@
                        [this](const send_commands& value) { deliver(value); },
                        [this](const close_target& value) { close_connection(value.connection); },
                        [this](const answer_statement& value) { record_answer(value); },
+                       [this](const list_demotions& /*value*/) { answer_demotions(); },
+                       [this](const publish_demotion& value) {
+                           after(delay(), [this, demotion = value.demotion] {
+                               apply(demotion_publish_answered{demotion, registry_available});
+                           });
+                       },
                        [](const auto& /*other*/) {},
                    },
                    wanted);
     }
 
+    void answer_demotions() {
+        after(registry_available ? delay() : core::duration{100ms}, [this] {
+            if (registry_available) {
+                apply(demotions_listed{demotions_});
+            } else {
+                answer_demotions();
+            }
+        });
+    }
+
     void open_connection(const open_target& request) {
         after(delay(), [this, request] {
             const auto found = targets.find(request.target);
@@ -439,7 +502,13 @@
             break;
         case command_kind::status:
         case command_kind::hold_replication:
-            reply.status = target_status{at.record.claims_primary, position_of(at), at.term, 0ms};
+            reply.status = status_of(at);
+            break;
+        case command_kind::step_down:
+            if (at.term < command.term) {
+                at.record.claims_primary = false;
+            }
+            reply.status = status_of(at);
             break;
         case command_kind::forward:
         case command_kind::execute:
@@ -508,9 +577,22 @@
     void replicate(const core::target_id& from, const core::target_id& to) {
         target& source = targets.at(from);
         target& replica = targets.at(to);
-        if (source.record.claims_primary && source.reachable && replica.reachable &&
-            !source.crashed && !replica.crashed && replica.log.size() < source.log.size()) {
-            replica.log.push_back(source.log[replica.log.size()]);
+        const bool connected =
+            source.reachable && replica.reachable && !source.crashed && !replica.crashed;
+        if (!source.record.claims_primary || replica.record.claims_primary ||
+            source.term < replica.term || !connected) {
+            return;
+        }
+        // A former primary drops what the current one does not have.
+        std::size_t common = 0;
+        while (common < replica.log.size() && common < source.log.size() &&
+               replica.log[common].statement_id == source.log[common].statement_id) {
+            ++common;
+        }
+        replica.term = source.term;
+        replica.log.resize(common);
+        if (common < source.log.size()) {
+            replica.log.push_back(source.log[common]);
         }
     }
 
@@ -535,7 +617,8 @@
                                          : database == "bounded" ? core::duration{1s}
                                                                  : core::duration{2s};
         for (const acknowledged_commit& entry : acknowledged_) {
-            if (entry.rolled_back || entry.index < at.log.size()) {
+            if (entry.rolled_back || (entry.index < at.log.size() &&
+                                      at.log[entry.index].statement_id == entry.statement_id)) {
                 continue;
             }
             if (entry.at < began - staleness) {
@@ -589,13 +672,22 @@
         for (const auto& [target_id, known] : targets) {
             for (std::size_t index = 0; known.record.claims_primary && index < known.log.size();
                  ++index) {
-                if (known.log[index].statement_id == id) {
-                    acknowledged_.push_back({now_, index, session, false});
+                if (known.log[index].statement_id != id) {
+                    continue;
+                }
+                if (target_id == leader_) {
+                    acknowledged_.push_back({now_, index, session, false, id});
+                } else {
+                    violations_.push_back("commit of a replaced primary acknowledged: " + id);
                 }
             }
         }
     }
 
+    [[nodiscard]] static target_status status_of(const target& at) {
+        return target_status{at.record.claims_primary, position_of(at), 0, 0ms, at.term};
+    }
+
     [[nodiscard]] static replication_position position_of(const target& at) {
         return at.log.empty() ? replication_position{} : at.log.back().position;
     }
@@ -627,6 +719,9 @@
     std::map<std::string, received_answer> answers_;
     std::map<std::string, std::vector<core::target_id>> runs_;
     std::vector<acknowledged_commit> acknowledged_;
+    /// The target that was promoted last.
+    core::target_id leader_{"t0"};
+    std::vector<primary_demotion> demotions_;
     std::vector<action> performed_;
     std::vector<std::string> violations_;
 };
--- a/packages/proxy/test/engine/random_faults_test.cpp
+++ b/packages/proxy/test/engine/random_faults_test.cpp
@@ -32,9 +32,14 @@
         }
     }
 
-    const fake_cluster& play() {
+    /// @param replacing Primaries are replaced by other hosts while they go on, instead of the
+    /// other faults.
+    const fake_cluster& play(bool replacing = false) {
         for (int step = 0; step < steps; ++step) {
-            if (chance(8)) {
+            if (replacing) {
+                advance_replacement();
+            }
+            if (!replacing && chance(8)) {
                 fault();
             } else {
                 act(sessions_[draw(callers)]);
@@ -96,8 +101,66 @@
         }
     }
 
+    /// @brief Performs the next step of a replacement when it is due. The primary either stays in
+    /// reach of this host, which hears of its demotion, or both are cut off from the rest.
+    void advance_replacement() {
+        if (cluster_.now() < next_step_at_) {
+            return;
+        }
+        switch (stage_) {
+        case 0: {
+            former_ = cluster_.leader();
+            cut_ = former_ == core::target_id{"t0"} && chance(60);
+            if (cut_) {
+                set_cut(true);
+                // Hosts in other domains need this long to suspect the primary and to announce its
+                // demotion.
+                next_step_at_ = cluster_.now() + 620ms;
+            } else {
+                cluster_.announce(former_);
+                next_step_at_ = cluster_.now() + 300ms;
+            }
+            break;
+        }
+        case 1: {
+            if (cut_) {
+                cluster_.announce(former_);
+            }
+            core::target_id next{"t" + std::to_string(draw(3))};
+            if (next == former_) {
+                next = core::target_id{former_.value == "t2" ? "t1" : "t2"};
+            }
+            cluster_.promote(next, former_);
+            cluster_.write_elsewhere();
+            next_step_at_ = cluster_.now() + core::duration{static_cast<int>(draw(1'500'000))};
+            break;
+        }
+        case 2:
+            set_cut(false);
+            cluster_.write_elsewhere();
+            next_step_at_ = cluster_.now() + 1s;
+            break;
+        default:
+            // The former primary reaches the new one and follows it.
+            cluster_.follow(former_);
+            next_step_at_ = cluster_.now() + 1s;
+            break;
+        }
+        stage_ = (stage_ + 1) % 4;
+    }
+
+    void set_cut(bool cut) {
+        cluster_.targets.at(core::target_id{"t1"}).reachable = !cut;
+        cluster_.targets.at(core::target_id{"t2"}).reachable = !cut;
+        cluster_.registry_available = !cut;
+    }
+
     fake_cluster cluster_;
     std::vector<session_id> sessions_;
+    int stage_ = 0;
+    core::time_point next_step_at_;
+    core::target_id former_;
+    bool cut_ = false;
 };
 
 std::vector<std::uint32_t> seeds() {
@@ -121,4 +184,14 @@
                "seed " << seed << ": " << (violations.empty() ? "" : violations.front()));
 }
 
+// Checks the guarantees to callers while primaries are replaced and go on: also no commit of a
+// replaced primary is acknowledged.
+BOOST_DATA_TEST_CASE(guarantees_hold_while_replaced_primaries_go_on,
+                     boost::unit_test::data::make(seeds()), seed) {
+    fault_run run{seed};
+    const std::vector<std::string>& violations = run.play(true).violations();
+    BOOST_TEST(violations.empty(),
+               "seed " << seed << ": " << (violations.empty() ? "" : violations.front()));
+}
+
 } // namespace lovagemoor::proxy
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -485,4 +485,158 @@
     BOOST_TEST(cluster.ran_at(id).empty());
 }
 
+namespace {
+
+/// @brief Cuts the host and t0, in failure domain a, off from the other domains and the registry.
+void cut_domain(fake_cluster& cluster, bool cut) {
+    cluster.targets.at(t1).reachable = !cut;
+    cluster.targets.at(t2).reachable = !cut;
+    cluster.registry_available = !cut;
+}
+
+struct cut_case {
+    const char* name;
+    kind sent;
+    const char* database;
+
+    friend std::ostream& operator<<(std::ostream& output, const cut_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<cut_case> cut_cases{
+    {"write", kind::write, "latest"},
+    {"latest read", kind::read, "latest"},
+    {"transaction", kind::begin, "latest"},
+};
+
+} // namespace
+
+// Guards against the use of a primary that was replaced while this host was cut off together with
+// it (ONE and STALE on ctc-signal: 33.5 s of trouble-1), during the cut and after its end, when the
+// former primary goes on for a moment.
+BOOST_DATA_TEST_CASE(a_primary_cut_off_with_this_host_is_not_used,
+                     boost::unit_test::data::make(cut_cases), sample) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open(sample.database);
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(300ms);
+    cut_domain(cluster, true);
+    cluster.run_for(600ms);
+    cluster.announce(t0);
+    cluster.promote(t1, t0);
+    const std::string during = cluster.send(cluster.open(sample.database), sample.sent, "y");
+    if (sample.sent == kind::begin) {
+        // A begin is answered locally; its transaction must not reach the target.
+        cluster.run_for(1ms);
+    }
+    cluster.run_for(1500ms);
+    BOOST_TEST((cluster.ran_at(during).empty()));
+    cut_domain(cluster, false);
+    cluster.write_elsewhere();
+    const session_id later = cluster.open(sample.database);
+    cluster.send(later, kind::begin);
+    const std::string write = cluster.send(later, kind::write, "z");
+    const std::string commit = cluster.send(later, kind::commit);
+    const std::string after = cluster.send(cluster.open(sample.database), kind::read, "y");
+    cluster.run_for(900ms);
+    BOOST_TEST((cluster.ran_at(after) != std::vector<core::target_id>{t0}));
+    BOOST_TEST((cluster.ran_at(write) != std::vector<core::target_id>{t0}));
+    BOOST_TEST(cluster.violations().empty(),
+               (cluster.violations().empty() ? "" : cluster.violations().front()));
+    BOOST_TEST(cluster.answer(commit).has_value());
+}
+
+namespace {
+
+struct overtaken_case {
+    const char* name;
+    bool in_transaction;
+
+    friend std::ostream& operator<<(std::ostream& output, const overtaken_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<overtaken_case> overtaken_cases{{"single write", false}, {"commit", true}};
+
+} // namespace
+
+// Guards against acknowledging a commit of a primary whose demotion was announced while the commit
+// ran: another target may lead without it. The commit may also have been kept.
+BOOST_DATA_TEST_CASE(a_commit_overtaken_by_a_demotion_is_in_doubt,
+                     boost::unit_test::data::make(overtaken_cases), sample) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    if (sample.in_transaction) {
+        cluster.send(caller, kind::begin);
+        cluster.send(caller, kind::write, "x");
+        cluster.run_for(50ms);
+    }
+    const std::string last =
+        cluster.send(caller, sample.in_transaction ? kind::commit : kind::write,
+                     sample.in_transaction ? "" : "x");
+    while (cluster.ran_at(last).empty()) {
+        cluster.run_for(100us);
+    }
+    BOOST_REQUIRE(!cluster.answer(last).has_value());
+    cluster.announce(t0);
+    cluster.run_for(50ms);
+    BOOST_REQUIRE(cluster.answer(last).has_value());
+    BOOST_REQUIRE(cluster.answer(last)->result.error.has_value());
+    BOOST_TEST((cluster.answer(last)->result.error->kind == error_kind::in_doubt));
+}
+
+// Guards against an outcome in doubt where none is necessary: a commit at a primary that may have
+// been replaced is not sent, so the transaction is rolled back.
+BOOST_AUTO_TEST_CASE(a_commit_is_not_sent_after_the_lease_of_the_primary) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::begin);
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    cut_domain(cluster, true);
+    cluster.run_for(700ms);
+    const std::string commit = cluster.send(caller, kind::commit);
+    cluster.run_for(100ms);
+    BOOST_TEST(cluster.ran_at(commit).empty());
+    BOOST_REQUIRE(cluster.answer(commit).has_value());
+    BOOST_REQUIRE(cluster.answer(commit)->result.error.has_value());
+    BOOST_TEST((cluster.answer(commit)->result.error->kind == error_kind::aborted));
+}
+
+// Guards against keeping a primary that another host is about to replace: a host that still reaches
+// it stops using it and demotes it.
+BOOST_AUTO_TEST_CASE(an_announced_demotion_reaches_the_primary_through_other_hosts) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    cluster.announce(t0);
+    const std::string write = cluster.send(caller, kind::write, "y");
+    cluster.run_for(100ms);
+    BOOST_TEST(!cluster.targets.at(t0).record.claims_primary);
+    BOOST_TEST(cluster.ran_at(write).empty());
+    cluster.promote(t1);
+    cluster.run_for(300ms);
+    BOOST_TEST((cluster.ran_at(write) == std::vector<core::target_id>{t1}));
+    BOOST_TEST(cluster.violations().empty());
+}
+
+// Guards against a service without a primary: a target that was demoted may be promoted again. Its
+// position carries the earlier term until it commits.
+BOOST_AUTO_TEST_CASE(a_demoted_target_leads_again_after_a_promotion) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    cluster.announce(t0);
+    cluster.run_for(100ms);
+    cluster.promote(t0);
+    const std::string write = cluster.send(caller, kind::write, "y");
+    cluster.run_for(900ms);
+    BOOST_TEST(error_of(cluster, write) == "");
+    BOOST_TEST((cluster.ran_at(write) == std::vector<core::target_id>{t0}));
+}
+
 } // namespace lovagemoor::proxy
--- a/packages/proxy/test/promotion/failover_coordinator_test.cpp
+++ b/packages/proxy/test/promotion/failover_coordinator_test.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <ostream>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -43,6 +44,17 @@
     return std::get<Step>(steps.front());
 }
 
+template <typename Step>
+std::vector<Step> all(const std::vector<failover_step>& steps) {
+    std::vector<Step> found;
+    for (const failover_step& step : steps) {
+        if (const Step* const match = std::get_if<Step>(&step)) {
+            found.push_back(*match);
+        }
+    }
+    return found;
+}
+
 /// @return A coordinator that holds the promotion lock with token 9 and inspects the replicas.
 failover_coordinator inspecting(const failover_input& input) {
     failover_coordinator made{failover_settings{}};
@@ -52,6 +64,13 @@
     return made;
 }
 
+/// @brief Lets the former primary acknowledge its demotion, at a position that every replica of
+/// these tests has received.
+void demote(failover_coordinator& made, const failover_input& input, core::time_point now) {
+    BOOST_REQUIRE(all<demote_primary>(made.advance(now, {input})).size() == 1U);
+    made.on_status(now, service, old_primary, at(1, 1));
+}
+
 struct lock_case {
     const char* name;
     /// Empty if no other host is known to hold the lock.
@@ -133,8 +152,9 @@
     input.replicas = sample.replicas;
     failover_coordinator made = inspecting(input);
     for (const auto& [target, status] : sample.positions) {
-        made.on_status(service, target, status);
+        made.on_status(start, service, target, status);
     }
+    demote(made, input, start + 200ms);
     const std::optional<call_promotion> call =
         only<call_promotion>(made.advance(start + 200ms, {input}));
     BOOST_REQUIRE(call.has_value());
@@ -145,8 +165,9 @@
 // Guards against promoting two targets if an answer is lost: the first call may still be executed.
 BOOST_AUTO_TEST_CASE(an_unanswered_call_is_repeated_for_the_same_target) {
     failover_coordinator made = inspecting(lost());
-    made.on_status(service, a, at(7));
-    made.on_status(service, b, at(7));
+    made.on_status(start, service, a, at(7));
+    made.on_status(start, service, b, at(7));
+    demote(made, lost(), start);
     const std::optional<call_promotion> first = only<call_promotion>(made.advance(start, {lost()}));
     BOOST_REQUIRE(first.has_value());
     made.on_promotion(start, {service, first->target, promotion_result::unknown});
@@ -161,8 +182,9 @@
 // Guards against a failover that stops at a candidate that is not running.
 BOOST_AUTO_TEST_CASE(a_rejected_candidate_is_skipped) {
     failover_coordinator made = inspecting(lost());
-    made.on_status(service, a, at(7));
-    made.on_status(service, b, at(8));
+    made.on_status(start, service, a, at(7));
+    made.on_status(start, service, b, at(8));
+    demote(made, lost(), start);
     BOOST_REQUIRE(only<call_promotion>(made.advance(start, {lost()})).has_value());
     made.on_promotion(start, {service, b, promotion_result::rejected});
     const std::optional<call_promotion> next =
@@ -174,8 +196,9 @@
 // Guards against further calls with a token that was rejected because a higher one is known.
 BOOST_AUTO_TEST_CASE(a_token_rejected_for_all_candidates_is_dropped) {
     failover_coordinator made = inspecting(lost());
-    made.on_status(service, a, at(7));
-    made.on_status(service, b, at(8));
+    made.on_status(start, service, a, at(7));
+    made.on_status(start, service, b, at(8));
+    demote(made, lost(), start);
     for (const core::target_id& candidate : {b, a}) {
         BOOST_REQUIRE(only<call_promotion>(made.advance(start, {lost()})).has_value());
         made.on_promotion(start, {service, candidate, promotion_result::rejected});
@@ -193,9 +216,10 @@
         only<inspect_replicas>(made.advance(start, {lost(1)}));
     BOOST_REQUIRE(inspection.has_value());
     BOOST_TEST(inspection->hold_term == 5U);
-    made.on_status(service, a, at(7));
+    made.on_status(start, service, a, at(7));
     BOOST_TEST(made.advance(start + 500ms, {lost(1)}).empty());
-    made.on_status(service, b, at(9));
+    made.on_status(start, service, b, at(9));
+    demote(made, lost(1), start + 510ms);
     const std::optional<call_promotion> call =
         only<call_promotion>(made.advance(start + 510ms, {lost(1)}));
     BOOST_REQUIRE(call.has_value());
@@ -205,8 +229,8 @@
 // Guards against calls under an expired lock, for example after a suspension of the machine.
 BOOST_AUTO_TEST_CASE(no_call_after_the_lock_has_expired) {
     failover_coordinator made = inspecting(lost());
-    made.on_status(service, a, at(7));
-    made.on_status(service, b, at(8));
+    made.on_status(start, service, a, at(7));
+    made.on_status(start, service, b, at(8));
     for (const failover_step& step : made.advance(start + 4s, {lost()})) {
         BOOST_TEST(!std::holds_alternative<call_promotion>(step));
     }
@@ -226,10 +250,197 @@
     failover_coordinator made = inspecting(lost());
     failover_input recovered = lost();
     recovered.cause = promotion_cause::none;
-    made.on_status(service, a, at(7));
-    made.on_status(service, b, at(8));
+    made.on_status(start, service, a, at(7));
+    made.on_status(start, service, b, at(8));
     BOOST_TEST(made.advance(start + 10ms, {recovered}).empty());
     BOOST_TEST(!made.promoting(service));
 }
 
+namespace {
+
+failover_input draining() {
+    failover_input input = lost();
+    input.cause = promotion_cause::primary_draining;
+    return input;
+}
+
+/// @brief Lets time pass in steps of 10 ms, with the replicas answering each inspection.
+/// @return All steps, with the time since start.
+std::vector<std::pair<core::duration, failover_step>>
+advance_until(failover_coordinator& made, const failover_input& input, core::duration from,
+              core::duration until, core::log_position replica_position) {
+    std::vector<std::pair<core::duration, failover_step>> steps;
+    for (core::duration elapsed = from; elapsed <= until; elapsed += 10ms) {
+        for (const failover_step& step : made.advance(start + elapsed, {input})) {
+            steps.emplace_back(elapsed, step);
+            if (std::holds_alternative<inspect_replicas>(step)) {
+                made.on_status(start + elapsed, service, a, at(replica_position));
+                made.on_status(start + elapsed, service, b, at(replica_position));
+            }
+        }
+    }
+    return steps;
+}
+
+template <typename Step>
+std::optional<core::duration>
+time_of(const std::vector<std::pair<core::duration, failover_step>>& steps) {
+    for (const auto& [elapsed, step] : steps) {
+        if (std::holds_alternative<Step>(step)) {
+            return elapsed;
+        }
+    }
+    return std::nullopt;
+}
+
+struct demotion_case {
+    const char* name;
+    failover_input input;
+    /// When the former primary acknowledges its demotion; empty for never.
+    std::optional<core::duration> acknowledged_after;
+    /// When the registry acknowledges the announcement; empty for never.
+    std::optional<core::duration> published_after;
+    std::optional<core::duration> expected_announcement;
+    std::optional<core::duration> expected_call;
+
+    friend std::ostream& operator<<(std::ostream& output, const demotion_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<demotion_case> demotion_cases{
+    {"a draining primary acknowledges", draining(), 20ms, std::nullopt, std::nullopt, 20ms},
+    {"a draining primary is out of reach", draining(), std::nullopt, 170ms, 160ms, 470ms},
+    {"a lost primary is announced at once", lost(), std::nullopt, 20ms, 10ms, 320ms},
+    {"a lost primary is reached after all", lost(), 100ms, 20ms, 10ms, 100ms},
+    {"nothing is acknowledged", lost(), std::nullopt, std::nullopt, 10ms, std::nullopt},
+};
+
+struct catch_up_case {
+    const char* name;
+    core::log_position replica_position;
+    core::duration expected_call;
+
+    friend std::ostream& operator<<(std::ostream& output, const catch_up_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<catch_up_case> catch_up_cases{
+    {"a replica has every commit", 8, 10ms},
+    {"a replica does not receive the last commit", 7, 310ms},
+};
+
+struct leader_case {
+    const char* name;
+    /// Status of a replica, and of a target that claims to lead.
+    core::term_number replica_term;
+    core::term_number leader_term;
+    bool ends;
+
+    friend std::ostream& operator<<(std::ostream& output, const leader_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<leader_case> leader_cases{
+    {"the leader of the newest term", 6, 6, true},
+    {"a former leader that goes on", 6, 5, false},
+};
+
+} // namespace
+
+// Guards against acknowledged writes at a primary that goes on after its replacement (ONE and STALE
+// on ctc-signal: 16.4 s of trouble-1). The call waits until the primary has acknowledged its
+// demotion, or until all hosts have had time to learn of it.
+BOOST_DATA_TEST_CASE(the_former_primary_is_demoted_before_the_call,
+                     boost::unit_test::data::make(demotion_cases), sample) {
+    failover_coordinator made = inspecting(sample.input);
+    made.on_status(start, service, a, at(8));
+    made.on_status(start, service, b, at(8));
+    std::vector<std::pair<core::duration, failover_step>> steps;
+    const auto run = [&](core::duration from, core::duration until) {
+        const auto more = advance_until(made, sample.input, from, until, 8);
+        steps.insert(steps.end(), more.begin(), more.end());
+    };
+    run(10ms, 10ms);
+    for (core::duration elapsed = 20ms; elapsed <= 1s; elapsed += 10ms) {
+        if (elapsed == sample.acknowledged_after) {
+            made.on_status(start + elapsed, service, old_primary, at(8));
+        }
+        if (elapsed == sample.published_after) {
+            made.on_demotion_published(start + elapsed, {{service, old_primary, 5}, true});
+        }
+        run(elapsed, elapsed);
+    }
+    BOOST_TEST((time_of<demote_primary>(steps) == core::duration{10ms}));
+    BOOST_TEST((time_of<announce_demotion>(steps) == sample.expected_announcement));
+    BOOST_TEST((time_of<call_promotion>(steps) == sample.expected_call));
+}
+
+// Guards against losing the last commits of a primary that was demoted in a planned release (7 of
+// them on ctc-signal trouble-1).
+BOOST_DATA_TEST_CASE(the_call_waits_for_the_last_commits_of_a_demoted_primary,
+                     boost::unit_test::data::make(catch_up_cases), sample) {
+    failover_coordinator made = inspecting(draining());
+    made.on_status(start, service, a, at(7));
+    made.on_status(start, service, b, at(7));
+    BOOST_REQUIRE(all<demote_primary>(made.advance(start, {draining()})).size() == 1U);
+    made.on_status(start + 10ms, service, old_primary, at(8));
+    made.on_status(start + 10ms, service, a, at(sample.replica_position));
+    const auto steps = advance_until(made, draining(), 10ms, 1s, sample.replica_position);
+    BOOST_TEST((time_of<call_promotion>(steps) == sample.expected_call));
+}
+
+// Guards against taking a primary away while no target can replace it.
+BOOST_AUTO_TEST_CASE(a_primary_is_not_demoted_without_a_candidate) {
+    failover_coordinator made = inspecting(lost());
+    for (const auto& [elapsed, step] : advance_until(made, lost(), 10ms, 0ms, 8)) {
+        BOOST_TEST(!std::holds_alternative<demote_primary>(step));
+    }
+    for (core::duration elapsed = 10ms; elapsed <= 1s; elapsed += 10ms) {
+        const std::vector<failover_step> steps = made.advance(start + elapsed, {lost()});
+        BOOST_TEST(all<demote_primary>(steps).empty());
+        BOOST_TEST(all<announce_demotion>(steps).empty());
+    }
+}
+
+// Guards against a demotion of too low a term: the position of a primary that has not committed
+// since its promotion carries an earlier term (seen on ctc-signal trouble-1).
+BOOST_AUTO_TEST_CASE(a_demotion_exceeds_the_terms_that_replicas_report) {
+    failover_coordinator made = inspecting(lost());
+    made.on_status(start, service, a, {false, {4, 7}, 0, 0ms, 6});
+    made.on_status(start, service, b, {false, {4, 7}, 0, 0ms, 5});
+    const std::vector<failover_step> steps = made.advance(start, {lost()});
+    BOOST_REQUIRE(all<demote_primary>(steps).size() == 1U);
+    BOOST_TEST(all<demote_primary>(steps).front().demotion.term == 7U);
+    BOOST_REQUIRE(all<announce_demotion>(steps).size() == 1U);
+    BOOST_TEST(all<announce_demotion>(steps).front().demotion.term == 7U);
+    BOOST_TEST(all<announce_demotion>(steps).front().fencing_token == 9U);
+}
+
+// Guards against replacing a primary that this host did not know.
+BOOST_DATA_TEST_CASE(a_newer_primary_ends_the_failover, boost::unit_test::data::make(leader_cases),
+                     sample) {
+    failover_coordinator made = inspecting(lost());
+    made.on_status(start, service, a, {false, {4, 7}, 0, 0ms, sample.replica_term});
+    made.on_status(start, service, b, {true, {4, 7}, 0, 0ms, sample.leader_term});
+    static_cast<void>(made.advance(start + 200ms, {lost()}));
+    BOOST_TEST(made.promoting(service) != sample.ends);
+}
+
+// Guards against a service without a primary: once a demotion is announced, hosts no longer use the
+// former primary, so the failover must go on even if the primary has recovered.
+BOOST_AUTO_TEST_CASE(a_failover_goes_on_after_the_demotion) {
+    failover_coordinator made = inspecting(lost());
+    made.on_status(start, service, a, at(8));
+    made.on_status(start, service, b, at(8));
+    BOOST_REQUIRE(all<announce_demotion>(made.advance(start, {lost()})).size() == 1U);
+    made.on_demotion_published(start + 10ms, {{service, old_primary, 5}, true});
+    failover_input recovered = lost();
+    recovered.cause = promotion_cause::none;
+    const auto steps = advance_until(made, recovered, 20ms, 1s, 8);
+    BOOST_TEST(time_of<call_promotion>(steps).has_value());
+}
+
 } // namespace lovagemoor::proxy
--- a/packages/proxy/test/routing/primary_view_test.cpp
+++ b/packages/proxy/test/routing/primary_view_test.cpp
@@ -57,4 +57,37 @@
     BOOST_TEST(primary_of(view) == "none");
 }
 
+// Guards against returning to a former primary that still considers itself the primary: positions
+// carry the term of the last commit, so both may show the same one.
+BOOST_AUTO_TEST_CASE(a_confirmation_of_the_same_term_does_not_replace_a_primary) {
+    primary_view view;
+    view.on_claim(a, true);
+    view.on_confirmed(a, 1);
+    view.on_claim(b, true);
+    BOOST_TEST(primary_of(view) == "b");
+    BOOST_TEST(!view.on_confirmed(a, 1));
+    BOOST_TEST(primary_of(view) == "b");
+    view.on_refuted(b);
+    BOOST_TEST(primary_of(view) == "a");
+}
+
+// Guards against further use of a primary after its demotion was announced.
+BOOST_AUTO_TEST_CASE(a_demoted_primary_is_only_used_in_later_terms) {
+    primary_view view;
+    view.on_claim(a, true);
+    view.on_confirmed(a, 3);
+    BOOST_TEST(view.on_demoted(a, 4));
+    BOOST_TEST(primary_of(view) == "none");
+    BOOST_TEST(view.superseded(a, 3));
+    BOOST_TEST(!view.on_confirmed(a, 3));
+    view.on_claim(a, false);
+    view.on_claim(a, true);
+    BOOST_TEST(primary_of(view) == "none");
+    view.on_leading(a, 3);
+    BOOST_TEST(view.demoted(a));
+    view.on_leading(a, 4);
+    BOOST_TEST(view.on_confirmed(a, 3));
+    BOOST_TEST(primary_of(view) == "a");
+}
+
 } // namespace lovagemoor::proxy
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -4,6 +4,7 @@
 #include <lovagemoor/platform_adapter/registry_documents.hpp>
 #include <lovagemoor/platform_adapter/statement_protocol.hpp>
 
+#include <charconv>
 #include <csignal>
 #include <ctime>
 #include <iostream>
@@ -21,6 +22,9 @@
 constexpr std::string_view hosts_prefix = "lovagemoor/hosts/";
 /// Prefix of all keys for promotions.
 constexpr std::string_view promotion_prefix = "lovagemoor/promotion/";
+/// Prefix of announced demotions. The service follows; the value is the lowest term in which the
+/// former primary may lead again and the primary, separated by a space.
+constexpr std::string_view demotions_prefix = "lovagemoor/demotions/";
 /// Prefix of reports that a primary is suspected. The service and the reporting host follow; the
 /// value is the suspected target.
 constexpr std::string_view suspicions_prefix = "lovagemoor/promotion/suspicions/";
@@ -78,6 +82,20 @@
     return key.substr(key.rfind('/') + 1);
 }
 
+/// @return Nothing if the item does not name a term and a target.
+std::optional<proxy::primary_demotion> parse_demotion(const std::string& key,
+                                                      const std::string& value) {
+    proxy::primary_demotion demotion;
+    const char* const end = value.data() + value.size();
+    const std::from_chars_result term = std::from_chars(value.data(), end, demotion.term);
+    if (term.ec != std::errc{} || term.ptr == end || *term.ptr != ' ' || term.ptr + 1 == end) {
+        return std::nullopt;
+    }
+    demotion.service = core::service_id{last_key_segment(key)};
+    demotion.target = core::target_id{std::string{term.ptr + 1, end}};
+    return demotion;
+}
+
 } // namespace
 
 } // namespace internal
@@ -225,8 +243,11 @@
     run_follower(configuration_follower_);
     run_follower(targets_follower_);
     run_follower(hosts_follower_);
-    if (promotion_follower_ != nullptr) {
-        run_follower(promotion_follower_);
+    for (const std::shared_ptr<proxy::registry_follower>& follower :
+         {demotions_follower_, promotion_follower_}) {
+        if (follower != nullptr) {
+            run_follower(follower);
+        }
     }
     registry_timer_.expires_after(internal::registry_poll_interval);
     registry_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -309,7 +330,8 @@
 void session_host::restart_watches() {
     // A watch that waits for changes may have been lost in an outage without an error.
     for (std::shared_ptr<proxy::registry_follower>* const follower :
-         {&configuration_follower_, &targets_follower_, &promotion_follower_}) {
+         {&configuration_follower_, &targets_follower_, &demotions_follower_,
+          &promotion_follower_}) {
         if (*follower != nullptr && (*follower)->connected()) {
             *follower =
                 std::make_shared<proxy::registry_follower>((*follower)->restarted(internal::now()));
@@ -338,6 +360,8 @@
         apply_targets(update);
     } else if (&follower == hosts_follower_.get()) {
         apply_hosts(update);
+    } else if (&follower == demotions_follower_.get()) {
+        apply_demotions(update);
     } else {
         apply_promotions(update);
     }
@@ -401,6 +425,26 @@
     handle(listed);
 }
 
+void session_host::apply_demotions(const proxy::registry_follower::update& update) {
+    proxy::demotions_listed listed;
+    for (const proxy::item_change& change : update.changes) {
+        const std::optional<proxy::primary_demotion> demotion =
+            change.removed ? std::nullopt
+                           : internal::parse_demotion(change.item.key, change.item.value);
+        if (demotion.has_value() && update.complete) {
+            listed.demotions.push_back(*demotion);
+        } else if (demotion.has_value()) {
+            handle(proxy::demotion_announced{*demotion});
+        } else {
+            log(core::log_event::level::warning, "demotion_rejected",
+                {{"key", change.item.key}, {"revision", std::to_string(change.item.revision)}});
+        }
+    }
+    if (update.complete) {
+        handle(listed);
+    }
+}
+
 void session_host::apply_promotions(const proxy::registry_follower::update& update) {
     proxy::suspicions_listed listed;
     for (const proxy::item_change& change : update.changes) {
@@ -490,6 +534,30 @@
     handle(claimed);
 }
 
+void session_host::perform(const proxy::publish_demotion& action) {
+    const proxy::primary_demotion& demotion = action.demotion;
+    // The condition also holds back a write that the registry executes late, after another host has
+    // acquired the lock.
+    const proxy::write_items announcement{
+        {{std::string{internal::promotion_lock_key}, action.fencing_token}},
+        {{std::string{internal::demotions_prefix} + demotion.service.value,
+          std::to_string(demotion.term) + ' ' + demotion.target.value, 0}},
+        {}};
+    registry_client_.write(announcement, [this, demotion](const proxy::write_outcome& outcome) {
+        const bool published = outcome.status == proxy::registry_status::done;
+        if (!published) {
+            log(core::log_event::level::warning, "demotion_not_published",
+                {{"service", demotion.service.value}});
+        }
+        handle(proxy::demotion_publish_answered{demotion, published});
+    });
+}
+
+void session_host::perform(const proxy::list_demotions& /*action*/) {
+    demotions_follower_ = internal::make_follower(internal::demotions_prefix, {});
+    run_follower(demotions_follower_);
+}
+
 void session_host::perform(const proxy::publish_suspicion& action) {
     if (registration_.lease() == 0) {
         // Without a lease the report would stay in the registry after this process has ended.
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -37,6 +37,8 @@
     void handle(const proxy::event& input);
     void perform(const proxy::follow_promotions& action);
     void perform(const proxy::acquire_promotion_lock& action);
+    void perform(const proxy::publish_demotion& action);
+    void perform(const proxy::list_demotions& action);
     void perform(const proxy::promote_target& action);
     void perform(const proxy::publish_suspicion& action);
     void perform(const proxy::withdraw_suspicion& action);
@@ -53,6 +55,7 @@
     void apply_configuration(const proxy::item_change& change);
     void apply_targets(const proxy::registry_follower::update& update);
     void apply_hosts(const proxy::registry_follower::update& update);
+    void apply_demotions(const proxy::registry_follower::update& update);
     void apply_promotions(const proxy::registry_follower::update& update);
     void apply_promotion_lock(const proxy::item_change& change);
     void finish_lock_claim(const proxy::promotion_lock_answered& result);
@@ -78,6 +81,8 @@
     std::shared_ptr<proxy::registry_follower> configuration_follower_;
     std::shared_ptr<proxy::registry_follower> targets_follower_;
     std::shared_ptr<proxy::registry_follower> hosts_follower_;
+    /// Null until the engine asks for the demotions.
+    std::shared_ptr<proxy::registry_follower> demotions_follower_;
     /// Null while the engine does not need to follow promotions.
     std::shared_ptr<proxy::registry_follower> promotion_follower_;
     proxy::lease_keeper registration_;
