Leave out odd entries of other writers without harm to the host

Cause (report of other operators): one entry that is very deeply nested, holds a number too large or a port out of range. An entry that became odd left its target in use until the next list.

An entry that becomes odd counts as removed, as in a list. A connect to an address that does not parse is reported as refused instead of going to the default endpoint.

--- a/packages/gateway/src/address.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/address.hpp
@@ -4,10 +4,10 @@
 
 #include <string>
 
-namespace lovagemoor::gateway::internal {
+namespace lovagemoor::gateway {
 
-/// @param address Address as ip:port.
+/// @param address IP address and port as ip:port.
 /// @throws boost::system::system_error when the text is not an IP address with a port.
 [[nodiscard]] boost::asio::ip::tcp::endpoint parse_endpoint(const std::string& address);
 
-} // namespace lovagemoor::gateway::internal
+} // namespace lovagemoor::gateway
--- a/packages/gateway/src/address.cpp
+++ b/packages/gateway/src/address.cpp
@@ -1,18 +1,21 @@
-#include "address.hpp"
+#include <lovagemoor/gateway/address.hpp>
 
 #include <boost/asio/ip/address.hpp>
 
 #include <charconv>
 #include <cstdint>
 
-namespace lovagemoor::gateway::internal {
+namespace lovagemoor::gateway {
 
 boost::asio::ip::tcp::endpoint parse_endpoint(const std::string& address) {
     const std::size_t colon = address.rfind(':');
     std::uint16_t port = 0;
     const char* const end = address.data() + address.size();
-    if (colon == std::string::npos ||
-        std::from_chars(address.data() + colon + 1, end, port).ptr != end) {
+    std::from_chars_result parsed{end, std::errc::invalid_argument};
+    if (colon != std::string::npos) {
+        parsed = std::from_chars(address.data() + colon + 1, end, port);
+    }
+    if (parsed.ec != std::errc{} || parsed.ptr != end) {
         throw boost::system::system_error{
             boost::system::errc::make_error_code(boost::system::errc::invalid_argument),
             "address \"" + address + "\" is not ip:port"};
@@ -20,4 +23,4 @@
     return {boost::asio::ip::make_address(address.substr(0, colon)), port};
 }
 
-} // namespace lovagemoor::gateway::internal
+} // namespace lovagemoor::gateway
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -1,6 +1,6 @@
 #include <lovagemoor/gateway/caller_listener.hpp>
 
-#include "address.hpp"
+#include <lovagemoor/gateway/address.hpp>
 
 #include <lovagemoor/core/overloaded.hpp>
 
@@ -10,7 +10,7 @@
 
 caller_listener::caller_listener(boost::asio::io_context& context, const std::string& address,
                                  std::size_t max_sessions, statement_codec codec, event_sink sink)
-    : acceptor_{context, internal::parse_endpoint(address)},
+    : acceptor_{context, parse_endpoint(address)},
       max_sessions_{max_sessions},
       codec_{std::move(codec)},
       sink_{std::move(sink)} {
--- a/packages/gateway/src/http_client.cpp
+++ b/packages/gateway/src/http_client.cpp
@@ -1,6 +1,6 @@
 #include <lovagemoor/gateway/http_client.hpp>
 
-#include "address.hpp"
+#include <lovagemoor/gateway/address.hpp>
 
 #include <lovagemoor/gateway/line_stream.hpp>
 
@@ -65,7 +65,7 @@
         // new connection is faster.
         stream_.expires_after(std::min(timeout_, internal::connect_timeout));
         stream_.async_connect(
-            internal::parse_endpoint(owner_.address_),
+            parse_endpoint(owner_.address_),
             [self = shared_from_this()](const boost::system::error_code& error) {
                 if (error) {
                     self->finish(http_response{http_failure::not_connected, 0, error.message()});
--- a/packages/gateway/src/http_server.cpp
+++ b/packages/gateway/src/http_server.cpp
@@ -1,6 +1,6 @@
 #include <lovagemoor/gateway/http_server.hpp>
 
-#include "address.hpp"
+#include <lovagemoor/gateway/address.hpp>
 
 #include <boost/algorithm/string/case_conv.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -106,7 +106,7 @@
 
 http_server::http_server(boost::asio::io_context& context, const std::string& address,
                          handler respond)
-    : acceptor_{context, internal::parse_endpoint(address)}, respond_{std::move(respond)} {
+    : acceptor_{context, parse_endpoint(address)}, respond_{std::move(respond)} {
     accept();
 }
 
--- a/packages/gateway/src/target_connections.cpp
+++ b/packages/gateway/src/target_connections.cpp
@@ -1,6 +1,8 @@
 #include <lovagemoor/gateway/target_connections.hpp>
 
-#include "address.hpp"
+#include <lovagemoor/gateway/address.hpp>
+
+#include <boost/asio/post.hpp>
 
 #include <utility>
 
@@ -33,12 +35,17 @@
     connection& opened = connections_[action.connection];
     opened.socket = std::make_shared<boost::asio::ip::tcp::socket>(context_);
     start_timeout(action.connection, action.connect_timeout);
-    boost::system::error_code invalid;
     boost::asio::ip::tcp::endpoint endpoint;
     try {
-        endpoint = internal::parse_endpoint(action.address);
-    } catch (const boost::system::system_error& error) {
-        invalid = error.code();
+        endpoint = parse_endpoint(action.address);
+    } catch (const boost::system::system_error&) {
+        // Reported as if the target had refused, but not from within this call.
+        boost::asio::post(context_, [this, id = action.connection] {
+            if (connections_.contains(id)) {
+                close_and_report(id, proxy::target_close_reason::refused);
+            }
+        });
+        return;
     }
     opened.socket->async_connect(
         endpoint, [this, action, socket = opened.socket](const boost::system::error_code& error) {
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -397,6 +397,10 @@
                 {{"target", id},
                  {"revision", std::to_string(change.item.revision)},
                  {"reason", parsed.error().reason}});
+            if (!update.complete) {
+                // As in a list, the entry names no target that may be used.
+                handle(proxy::target_removed{core::target_id{id}});
+            }
         } else if (update.complete) {
             listed.targets.push_back(parsed.value());
         } else {
--- a/tests/process/session_host_test.cpp
+++ b/tests/process/session_host_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
@@ -39,9 +40,12 @@
         store_.put("op/config", R"({"config_version":1,"routes":[{"host":"orders","service":"s",)"
                                 R"("route_type":"primary","timeout_ms":5000}],)"
                                 R"("services":[{"name":"s","max_connections":10}]})");
-        store_.put("servers/i-1",
-                   R"({"service":"s","address":")" + database_.address() +
-                       R"(","zone":"a","slots":2,"state":"ready","db_role":"primary"})");
+        store_.put("servers/i-1", database_entry("ready"));
+        // Entries of another writer, listed before and after the database's.
+        store_.put("servers/a-1", std::string(200'000, '['));
+        store_.put("servers/a-2", "\xff\xfe");
+        store_.put("servers/z-1", R"({"service":"s","address":"127.0.0.1:99999","zone":"a",)"
+                                  R"("slots":1e300,"state":"ready","db_role":"primary"})");
         std::filesystem::create_directories(directory_);
         write_settings("info");
         standin_thread_ = std::thread{[this] { context_.run(); }};
@@ -72,6 +76,16 @@
              << "\n[log]\nlevel = " << level << "\n";
     }
 
+    /// @brief Writes an item of the store, on the thread of the stand-ins.
+    void put(const std::string& key, const std::string& value) {
+        boost::asio::post(context_, [this, key, value] { store_.put(key, value); });
+    }
+
+    [[nodiscard]] std::string database_entry(const std::string& state) const {
+        return R"({"service":"s","address":")" + database_.address() +
+               R"(","zone":"a","slots":2,"state":")" + state + R"(","db_role":"primary"})";
+    }
+
     testbed::child_process& process() { return *host_; }
 
     [[nodiscard]] std::uint16_t caller_port() const { return ports_[0]; }
@@ -181,6 +195,28 @@
     BOOST_TEST(session.execute("READ kit-1").front() == "DATAROW blue");
 }
 
+// Guards against a host that ends, or no longer follows the list of databases, because of one odd
+// entry: the host started with several of them, and more come while it runs.
+BOOST_AUTO_TEST_CASE(odd_entries_do_not_stop_the_list) {
+    running_host host;
+    caller_session session{host.caller_port()};
+    BOOST_TEST(session.execute("WRITE kit-1 blue").front() == "COMPLETE signed");
+    host.put("servers/a-3", std::string(700'000, '['));
+    host.put("servers/a-4", R"({"service":"s","address":"10.0.0.1:70000"})");
+    // A later change arrives: the database's entry becomes odd, so the database is no longer used.
+    host.put("servers/i-1", R"({"state":)");
+    BOOST_TEST(!host.process().wait_for_exit(4s).has_value());
+    BOOST_TEST(session.execute("READ kit-1").front().starts_with("ERROR"));
+    host.put("servers/i-1", host.database_entry("ready"));
+    std::vector<std::string> answer;
+    for (int attempt = 0; attempt < 40 && (answer.empty() || answer.front() != "DATAROW blue");
+         ++attempt) {
+        std::this_thread::sleep_for(100ms);
+        answer = session.execute("READ kit-1");
+    }
+    BOOST_TEST(answer.front() == "DATAROW blue");
+}
+
 // Guards against a planned stop that ends a session while its transaction is open.
 BOOST_AUTO_TEST_CASE(a_graceful_stop_waits_for_an_open_transaction) {
     running_host host;
