Keep fewer connections where hosts far outnumber them

About 147 prefer each replica and all of them kept a connection, more than the target accepts; of a primary's connections four fifths were kept by a third of the hosts.

Change: if too many hosts prefer a target, their ranks decide which keep a connection. The part that is left free grows with the share of hosts that keep none (unchanged, a fifth, where there are four connections for five hosts).

--- a/packages/proxy/include/lovagemoor/proxy/pool/connection_share.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/pool/connection_share.hpp
@@ -41,8 +41,10 @@
 ///
 /// Half of the host's share. The other half is left to hosts that restart while the target still
 /// counts the connections of their previous processes. If the share is below two connections, each
-/// host keeps one, up to a fixed fraction of the target's limit: first the hosts that prefer the
-/// target, then other hosts by rank. Idle connections are kept because, with many hosts that rarely
+/// host keeps one, up to a fraction of the target's limit: first the hosts that prefer the target,
+/// then other hosts by rank. If too many prefer it, their ranks decide. The more hosts keep none,
+/// the more connections are left free for them: otherwise they are refused, and each attempt
+/// occupies a slot. Idle connections are kept because, with many hosts that rarely
 /// send statements, opening a connection per statement occupies more of a target's slots than the
 /// statements themselves.
 ///
--- a/packages/proxy/src/pool/connection_share.cpp
+++ b/packages/proxy/src/pool/connection_share.cpp
@@ -17,9 +17,23 @@
 /// transactions.
 constexpr unsigned useful_connections_beyond_slots = 3;
 
-/// Fraction of a target's connections that hosts keep open if connections are scarce. The rest is
-/// left to restarting hosts and to hosts that keep none.
-constexpr double kept_fraction = 0.8;
+/// Highest fraction of a target's connections that hosts keep open if connections are scarce. The
+/// rest is left to restarting hosts and to hosts that keep none.
+constexpr double max_kept_fraction = 0.8;
+
+/// Part of a target's connections that is left free for each part of the hosts that keeps none.
+/// Leaves a fifth free if hosts keep four fifths of four connections for five hosts, as measured on
+/// the grown reference deployments.
+constexpr double reserve_ratio = 5.0 / 9.0;
+
+/// @return Number of connections that all hosts together keep open to a target with fewer than two
+/// connections per host.
+double kept_connections(const connection_limit& limit, double hosts) noexcept {
+    // Solves 1 - fraction = reserve_ratio * (1 - fraction * per_host).
+    const double per_host = std::min(1.0, limit.connections / hosts);
+    const double fraction = (1 - reserve_ratio) / (1 - reserve_ratio * per_host);
+    return limit.connections * std::min(max_kept_fraction, fraction);
+}
 
 std::size_t host_count(const connection_limit& limit) noexcept {
     return limit.hosts == 0 ? assumed_hosts : limit.hosts;
@@ -46,16 +60,17 @@
         return half;
     }
     const auto hosts = static_cast<double>(internal::host_count(limit));
-    const double kept = limit.connections * internal::kept_fraction;
+    const double kept = internal::kept_connections(limit, hosts);
     if (priority.starting) {
         const double free_connections = limit.connections - std::min(hosts, kept);
         return priority.rank * hosts < free_connections / 2 ? 1U : 0U;
     }
     const auto preferring_hosts = static_cast<double>(priority.preferring_hosts);
-    return priority.preferred ||
-                   priority.rank * (hosts - preferring_hosts) < kept - preferring_hosts
-               ? 1U
-               : 0U;
+    const bool keeps = preferring_hosts > kept
+                           ? priority.preferred && priority.rank * preferring_hosts < kept
+                           : priority.preferred || priority.rank * (hosts - preferring_hosts) <
+                                                       kept - preferring_hosts;
+    return keeps ? 1U : 0U;
 }
 
 double connection_rank(const core::host_id& host, const core::target_id& target) {
