Check a primary less often where that needs a new connection

Change: a host that keeps no connection to a primary renews its check when the longest staleness bound of the service's routes is about to end (300 ms before), checks on a connection that a request opened, and closes a connection that was opened only for a check at once.

Weighed and left: checks shared between hosts, which needs a protocol between them.

--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -192,6 +192,9 @@
     void finish_in_transaction(session& caller, target_connection& connection,
                                const statement_result& result);
     void release_when_idle(target_connection& connection);
+    /// @brief Closes a connection that was opened for a leadership check only, to a target to which
+    /// this host keeps none.
+    void close_if_only_checking(core::connection_id id);
     void drop_connection(core::connection_id id);
     void on_connection_lost(const target_connection& connection, bool was_open);
     void on_target_contact(const core::target_id& target);
@@ -215,6 +218,9 @@
     // session_engine_isolation.cpp, session_engine_promotion.cpp
     void update_service(const core::service_id& id, service_state& state);
     void probe(target_state& target);
+    /// @return Age at which the newest leadership check of a service's primary is renewed.
+    [[nodiscard]] core::duration check_interval_of(const core::service_id& service,
+                                                   const target_state& primary) const;
     void probe_all_targets(const core::service_id& id, service_state& state);
     void update_targets();
     void update_startup();
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
@@ -23,6 +23,10 @@
     /// Maximum age of the newest leadership check while a service is in use. A third of the
     /// shortest staleness bound in the reference deployments (1,500 ms).
     std::chrono::milliseconds check_interval{500};
+    /// A host that keeps no connection to a primary checks it this long before the longest
+    /// staleness bound of the service's routes ends, as each check needs a new connection. Covers
+    /// the connect, which queues for a slot.
+    std::chrono::milliseconds scarce_check_margin{300};
     /// Timeout for a probe. Even a loaded target answers commands that do no work within
     /// milliseconds.
     std::chrono::milliseconds probe_timeout{300};
--- a/packages/proxy/src/engine/session_engine_periodic.cpp
+++ b/packages/proxy/src/engine/session_engine_periodic.cpp
@@ -155,14 +155,30 @@
         probe_all_targets(id, state);
         return;
     }
+    const core::duration interval = check_interval_of(id, *target);
     const std::optional<core::time_point> newest = state.checks.newest();
-    const bool due = !newest.has_value() || now_ - *newest > settings_.check_interval;
-    if (due && now_ - state.last_probe > settings_.check_interval / 2) {
+    const bool due = !newest.has_value() || now_ - *newest > interval;
+    if (due && now_ - state.last_probe > interval / 2) {
         state.last_probe = now_;
         probe(*target);
     }
 }
 
+core::duration session_engine::check_interval_of(const core::service_id& service,
+                                                 const target_state& primary) const {
+    core::duration interval = settings_.check_interval;
+    if (primary.connections() > 0 || primary.min_connections > 0 || !configuration_.has_value()) {
+        return interval;
+    }
+    for (const auto& [database, via] : configuration_->routes) {
+        if (via->service == service) {
+            interval = std::max<core::duration>(interval,
+                                                via->max_staleness - settings_.scarce_check_margin);
+        }
+    }
+    return interval;
+}
+
 void session_engine::probe_all_targets(const core::service_id& id, service_state& state) {
     if (now_ - state.last_probe < settings_.search_interval) {
         return;
--- a/packages/proxy/src/engine/session_engine_replies.cpp
+++ b/packages/proxy/src/engine/session_engine_replies.cpp
@@ -44,7 +44,14 @@
     on_target_contact(connection->target);
     if (target_state* const target = pool_.find(connection->target)) {
         target->connect_failures = 0;
-        dispatch_waiting(target->record.service);
+        const core::service_id service = target->record.service;
+        dispatch_waiting(service);
+        const service_state& state = services_[service];
+        const std::optional<core::time_point> newest = state.checks.newest();
+        if (target->min_connections == 0 && state.view.primary() == target->record.id &&
+            (!newest.has_value() || now_ - *newest > settings_.check_interval)) {
+            probe(*target);
+        }
     }
 }
 
@@ -118,6 +125,22 @@
     if (target_connection* const still_open = pool_.find(input.connection)) {
         release_when_idle(*still_open);
     }
+    if (expected.role == reply_role::check_end) {
+        close_if_only_checking(input.connection);
+    }
+}
+
+void session_engine::close_if_only_checking(core::connection_id id) {
+    const target_connection* const connection = pool_.find(id);
+    if (connection == nullptr || connection->phase != connection_phase::idle ||
+        connection->user != 0) {
+        return;
+    }
+    const target_state* const target = pool_.find(connection->target);
+    if (target != nullptr && target->min_connections == 0) {
+        out_.emplace_back(close_target{id});
+        pool_.erase(id);
+    }
 }
 
 void session_engine::release_when_idle(target_connection& connection) {
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -388,6 +388,35 @@
     BOOST_TEST(cluster.connects_to(t0) == before + 1);
 }
 
+// Guards against a connection flood for leadership checks. On dala-ops-large, 295 hosts without a
+// kept connection to each of 20 primaries opened one every 250 ms for a check (131,053 attempts
+// refused in 22 s). A host of which the routes accept 2 s needs one every 1.7 s, and its reads
+// still run on replicas.
+BOOST_AUTO_TEST_CASE(a_host_without_a_kept_connection_checks_as_rarely_as_its_routes_allow) {
+    fake_cluster cluster;
+    cluster.start_reference(120);
+    cluster.run_for(6s);
+    BOOST_REQUIRE(cluster.connections_to(t0) == 0U);
+    const session_id caller = cluster.open("own");
+    cluster.send(caller, kind::read, "x");
+    cluster.run_for(500ms);
+    const std::size_t before = cluster.connects_to(t0);
+    std::size_t on_primary = 0;
+    std::size_t times_connected = 0;
+    for (int index = 0; index < 30; ++index) {
+        const std::string read = cluster.send(caller, kind::read, "x");
+        for (int part = 0; part < 6; ++part) {
+            cluster.run_for(50ms);
+            times_connected += cluster.connections_to(t0) > 0 ? 1 : 0;
+        }
+        BOOST_TEST(error_of(cluster, read) == "");
+        on_primary += cluster.ran_at(read) == std::vector<core::target_id>{t0} ? 1 : 0;
+    }
+    BOOST_TEST(cluster.connects_to(t0) - before <= 6U);
+    BOOST_TEST(on_primary == 0U);
+    BOOST_TEST(times_connected <= 6U);
+}
+
 // Guards against overload after a power failure. Restarting hosts took all connections that their
 // previous processes left free, and later opened the rest at once, which filled the targets' slots
 // (found on halgeld-pool-grown).
