Demote a former primary that still claims to lead, by a higher term

Found in reading the change. A new primary is often known by its claim before it is confirmed, so the former one was not told to step down; and the term sent was that of the last commit, which both primaries show until the new one commits. PAUSE of synchronous replicas had the same fault: it now uses the term above all that targets report. An inspection no longer counts as done while no candidate has answered.

Test: a_former_primary_that_still_claims_to_lead_is_demoted.

--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -296,9 +296,9 @@
     std::optional<core::time_point> isolated_since_;
     /// Time of the last request to list the demotions.
     std::optional<core::time_point> demotions_requested_at_;
-    /// Time of the last call to the registry that was made to renew leases, and of the last one
-    /// that was answered.
+    /// Time of the last request for contact with the registry.
     core::time_point registry_contact_requested_at_;
+    /// Latest time at which a call was sent that the registry answered.
     core::time_point registry_contacted_at_;
     /// Time at which the last answered request was made. The list contains all demotions that had
     /// been announced by then.
--- a/packages/proxy/src/engine/session_engine_promotion.cpp
+++ b/packages/proxy/src/engine/session_engine_promotion.cpp
@@ -263,7 +263,9 @@
     for (const target_state* const target : pool_.of_service(service)) {
         if (target->record.claims_primary && target->record.id != primary &&
             !target->removed_at.has_value()) {
-            inspect_target(target->record.id, command_kind::step_down, state.view.term());
+            // Positions carry the term of the last commit, so a former primary may show the same
+            // one. A target that leads a later term ignores the command.
+            inspect_target(target->record.id, command_kind::step_down, state.view.term() + 1);
         }
     }
     send_pending_inspections();
--- a/packages/proxy/src/engine/session_engine_replies.cpp
+++ b/packages/proxy/src/engine/session_engine_replies.cpp
@@ -505,7 +505,7 @@
              {"term", std::to_string(position.term)},
              {"position", std::to_string(position.index)}});
     }
-    if (changed) {
+    if (changed || !was_confirmed) {
         demote_former_primaries(service_name, target);
     }
     if (changed || first_bound || !service.waiting.empty()) {
--- a/packages/proxy/src/promotion/failover_coordinator.cpp
+++ b/packages/proxy/src/promotion/failover_coordinator.cpp
@@ -51,7 +51,7 @@
 void failover_coordinator::inspect(core::time_point now, const failover_input& input,
                                    attempt& current, std::vector<failover_step>& steps) const {
     current.inspected_at = now;
-    const core::term_number hold = input.synchronous_replicas > 0 ? input.term + 1 : 0;
+    const core::term_number hold = input.synchronous_replicas > 0 ? current.demotion_term : 0;
     steps.emplace_back(inspect_replicas{input.service, hold});
 }
 
@@ -69,8 +69,8 @@
         // Every acknowledged commit is on at least synchronous_replicas of the replicas.
         return known + input.synchronous_replicas > candidates;
     }
-    return known >= candidates ||
-           (known > 0 && now - current.started_at >= settings_.inspection_time);
+    return known > 0 &&
+           (known >= candidates || now - current.started_at >= settings_.inspection_time);
 }
 
 std::optional<core::target_id> failover_coordinator::choose(const failover_input& input,
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -715,6 +715,22 @@
     BOOST_TEST(cluster.violations().empty());
 }
 
+// Guards against a former primary that goes on while the registry lists both it and the new one: an
+// observer that finds the new one tells the other to step down.
+BOOST_AUTO_TEST_CASE(a_former_primary_that_still_claims_to_lead_is_demoted) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    cluster.promote(t1, t0);
+    cluster.list_targets();
+    const std::string write = cluster.send(caller, kind::write, "y");
+    cluster.run_for(900ms);
+    BOOST_TEST(!cluster.targets.at(t0).record.claims_primary);
+    BOOST_TEST((cluster.ran_at(write) == std::vector<core::target_id>{t1}));
+    BOOST_TEST(cluster.violations().empty());
+}
+
 // Guards against a service without a primary: a target that was demoted may be promoted again. Its
 // position carries the earlier term until it commits.
 BOOST_AUTO_TEST_CASE(a_demoted_target_leads_again_after_a_promotion) {
