Count replicas without an entry in a failover with synchronous replicas

Cause: the failover asked for as many positions as needed of the replicas listed at that moment. A replica whose entry has lapsed may still receive and confirm commits. Related: after a 409 for the most complete replica the next best was promoted, although it may lack acknowledged commits.

Change: with synchronous replicas, removed targets stay candidates to ask (not to promote) for 30 s after their last contact, unless another target of the service has taken over their address. Only a listed replica with the newest known position is promoted; until there is one the failover asks again every 0.6 s and logs which replica it waits for. Without synchronous replicas nothing changes.

--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -210,6 +210,12 @@
     void apply_target(const target_record& record);
     void mark_target_removed(const core::target_id& id);
     void forget_target(const core::target_id& id);
+    /// @return True if another target of the service has taken over the address of the target, and
+    /// with it its log.
+    [[nodiscard]] bool is_replaced(const target_state& target) const;
+    /// @return True if a removed target may hold acknowledged commits that no listed one has.
+    [[nodiscard]] bool may_hold_commits(const target_state& target) const;
+    [[nodiscard]] unsigned synchronous_replicas_of(const core::service_id& service) const;
     void update_host(const host_record& record);
     void mark_host_removed(const core::host_id& host, host_state& state);
     void update_ready();
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
@@ -89,6 +89,11 @@
     /// Time for which a target still gets new statements after the registry removed it. The
     /// registry lists live targets again within 2 s of an outage.
     std::chrono::milliseconds removal_grace{2500};
+    /// Time since its last contact for which a replica that the registry removed may still hold
+    /// commits that no listed one has. Only with synchronous replicas. Covers a replica that is cut
+    /// off from the registry for several times as long as its entry lasts without heartbeats (3.6 s
+    /// in the reference deployments).
+    std::chrono::milliseconds unlisted_replica_retention{30000};
     /// Time for which a draining target still gets new statements. Half of the shortest drain
     /// period in the reference deployments (7 s).
     std::chrono::milliseconds draining_use_time{3500};
--- a/packages/proxy/include/lovagemoor/proxy/promotion/failover_coordinator.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/promotion/failover_coordinator.hpp
@@ -28,6 +28,9 @@
 struct promotion_candidate {
     core::target_id target;
     bool draining = false;
+    /// False if the registry has removed the entry of the replica. A replica that is cut off from
+    /// the registry alone still receives commits, and confirms them if it is synchronous.
+    bool listed = true;
 };
 
 /// @brief State of a service on which the failover decision is based.
@@ -35,7 +38,8 @@
     core::service_id service;
     std::optional<core::target_id> primary;
     promotion_cause cause = promotion_cause::none;
-    /// Listed targets that are not the primary.
+    /// Targets that are not the primary. Unlisted ones only with synchronous replicas, as they may
+    /// hold commits that no listed one has.
     std::vector<promotion_candidate> replicas;
     unsigned synchronous_replicas = 0;
     core::term_number term = 0;
@@ -65,7 +69,8 @@
     std::chrono::milliseconds publication_retry{200};
     /// Maximum time for a replica to receive the last commits of a demoted primary.
     std::chrono::milliseconds catch_up_time{300};
-    /// Timeout for the first position.
+    /// Timeout for the first position, and interval at which the positions are queried again while
+    /// they do not suffice for a choice.
     std::chrono::milliseconds inspection_limit{600};
     /// Delay before a promotion call without an answer is repeated.
     std::chrono::milliseconds call_retry{700};
@@ -79,6 +84,8 @@
     core::service_id service;
     /// Term with which replication into the replicas is held; 0 to query the status only.
     core::term_number hold_term = 0;
+    /// Replicas for which the failover has waited since the last query.
+    std::vector<core::target_id> awaited;
 };
 
 /// @brief Makes the former primary a replica, if this host reaches it. A primary may otherwise
@@ -119,7 +126,9 @@
 /// published and every host has had time to stop using it. In the first case no commit is lost: the
 /// host waits until a replica has received the last one.
 ///
-/// The replica with the most complete log is promoted. A call without an answer is repeated for the
+/// The replica with the most complete log is promoted. With synchronous replicas, a failover waits
+/// while that one is unknown, unlisted or not running: promoting another would lose commits that
+/// were acknowledged. A call without an answer is repeated for the
 /// same target with the same token, because the first call may still be executed.
 class failover_coordinator {
 public:
@@ -204,6 +213,13 @@
                                                         const attempt& current) const;
     [[nodiscard]] bool inspection_done(core::time_point now, const failover_input& input,
                                        const attempt& current) const;
+    /// @return The replicas without a known position, or the unlisted ones with the most complete
+    /// log.
+    [[nodiscard]] static std::vector<core::target_id> awaited_replicas(const failover_input& input,
+                                                                       const attempt& current);
+    /// @return Position of the most complete log among the replicas whose position is known.
+    [[nodiscard]] static replication_position newest_position(const failover_input& input,
+                                                              const attempt& current);
 
     failover_settings settings_;
     std::optional<std::uint64_t> fencing_token_;
--- a/packages/proxy/src/engine/session_engine_periodic.cpp
+++ b/packages/proxy/src/engine/session_engine_periodic.cpp
@@ -112,7 +112,7 @@
     for (auto& [id, target] : pool_.targets()) {
         if (!target.removed_at.has_value()) {
             maintain_connection(target);
-        } else if (!usable(target) && target.in_use == 0) {
+        } else if (!usable(target) && target.in_use == 0 && !may_hold_commits(target)) {
             gone.push_back(id);
         }
     }
--- a/packages/proxy/src/engine/session_engine_promotion.cpp
+++ b/packages/proxy/src/engine/session_engine_promotion.cpp
@@ -123,15 +123,14 @@
     input.service = id;
     input.primary = state.view.primary();
     input.term = state.view.term();
-    if (configuration_.has_value()) {
-        const auto limits = configuration_->services.find(id);
-        if (limits != configuration_->services.end()) {
-            input.synchronous_replicas = limits->second.synchronous_replicas;
-        }
-    }
+    input.synchronous_replicas = synchronous_replicas_of(id);
     for (const target_state* const target : pool_.of_service(id)) {
-        if (target->record.id != input.primary && !target->removed_at.has_value()) {
-            input.replicas.push_back({target->record.id, target->record.draining});
+        const bool listed = !target->removed_at.has_value();
+        // A former primary acknowledges nothing after its demotion that its replicas lack.
+        const bool may_be_ahead =
+            may_hold_commits(*target) && !state.view.demoted(target->record.id);
+        if (target->record.id != input.primary && (listed || may_be_ahead)) {
+            input.replicas.push_back({target->record.id, target->record.draining, listed});
         }
     }
     input.cause = cause_of(id, state);
@@ -204,6 +203,10 @@
                     out_.emplace_back(acquire_promotion_lock{request.duration});
                 },
                 [this](const inspect_replicas& request) {
+                    for (const core::target_id& replica : request.awaited) {
+                        log(core::log_event::level::warning, "failover_waits_for_replica",
+                            {{"service", request.service.value}, {"target", replica.value}});
+                    }
                     const command_kind kind = request.hold_term > 0 ? command_kind::hold_replication
                                                                     : command_kind::status;
                     const std::optional<core::target_id>& primary =
--- a/packages/proxy/src/engine/session_engine_registry.cpp
+++ b/packages/proxy/src/engine/session_engine_registry.cpp
@@ -1,5 +1,6 @@
 #include <lovagemoor/proxy/engine/session_engine.hpp>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -77,6 +78,35 @@
     min_connections_outdated_ = true;
 }
 
+bool session_engine::is_replaced(const target_state& target) const {
+    return std::any_of(pool_.targets().begin(), pool_.targets().end(), [&](const auto& entry) {
+        const target_state& other = entry.second;
+        return !other.removed_at.has_value() && other.record.id != target.record.id &&
+               other.record.service == target.record.service &&
+               other.record.address == target.record.address;
+    });
+}
+
+unsigned session_engine::synchronous_replicas_of(const core::service_id& service) const {
+    if (!configuration_.has_value()) {
+        return 0;
+    }
+    const auto limits = configuration_->services.find(service);
+    return limits == configuration_->services.end() ? 0 : limits->second.synchronous_replicas;
+}
+
+bool session_engine::may_hold_commits(const target_state& target) const {
+    const auto service = services_.find(target.record.service);
+    if (service != services_.end() && service->second.view.primary() == target.record.id) {
+        // Its replicas have every commit that it acknowledged.
+        return false;
+    }
+    return synchronous_replicas_of(target.record.service) > 0 && target.removed_at.has_value() &&
+           now_ - std::max(*target.removed_at, target.last_contact) <
+               settings_.unlisted_replica_retention &&
+           !is_replaced(target);
+}
+
 void session_engine::forget_target(const core::target_id& id) {
     const target_state* const target = pool_.find(id);
     services_[target->record.service].view.on_removed(id);
--- a/packages/proxy/src/engine/session_engine_replies.cpp
+++ b/packages/proxy/src/engine/session_engine_replies.cpp
@@ -367,6 +367,12 @@
         on_target_failure(lost.target, now_);
     }
     on_connection_lost(lost, was_open);
+    const target_state* const known = pool_.find(lost.target);
+    if (input.reason == target_close_reason::wrong_target && known != nullptr &&
+        known->removed_at.has_value()) {
+        // Another target has its address, so this one has ended.
+        forget_target(lost.target);
+    }
 }
 
 void session_engine::drop_connection(core::connection_id id) {
--- a/packages/proxy/src/promotion/failover_coordinator.cpp
+++ b/packages/proxy/src/promotion/failover_coordinator.cpp
@@ -52,7 +52,7 @@
                                    attempt& current, std::vector<failover_step>& steps) const {
     current.inspected_at = now;
     const core::term_number hold = input.synchronous_replicas > 0 ? current.demotion_term : 0;
-    steps.emplace_back(inspect_replicas{input.service, hold});
+    steps.emplace_back(inspect_replicas{input.service, hold, {}});
 }
 
 bool failover_coordinator::inspection_done(core::time_point now, const failover_input& input,
@@ -73,13 +73,48 @@
            (known >= candidates || now - current.started_at >= settings_.inspection_time);
 }
 
+std::vector<core::target_id> failover_coordinator::awaited_replicas(const failover_input& input,
+                                                                    const attempt& current) {
+    const replication_position newest = newest_position(input, current);
+    std::vector<core::target_id> awaited;
+    for (const promotion_candidate& candidate : input.replicas) {
+        const auto known = current.positions.find(candidate.target);
+        const bool unlisted_holder = known != current.positions.end() && !candidate.listed &&
+                                     known->second.received == newest;
+        if (candidate.target != current.former_primary &&
+            (known == current.positions.end() || unlisted_holder)) {
+            awaited.push_back(candidate.target);
+        }
+    }
+    return awaited;
+}
+
+replication_position failover_coordinator::newest_position(const failover_input& input,
+                                                           const attempt& current) {
+    replication_position newest;
+    for (const promotion_candidate& candidate : input.replicas) {
+        const auto known = current.positions.find(candidate.target);
+        if (candidate.target != current.former_primary && known != current.positions.end()) {
+            newest = std::max(newest, known->second.received);
+        }
+    }
+    return newest;
+}
+
 std::optional<core::target_id> failover_coordinator::choose(const failover_input& input,
                                                             const attempt& current) const {
+    const replication_position newest = newest_position(input, current);
     std::optional<core::target_id> best;
     std::tuple<bool, bool, replication_position> best_rank;
     for (const promotion_candidate& candidate : input.replicas) {
         const auto known = current.positions.find(candidate.target);
-        if (known == current.positions.end() || current.rejected.contains(candidate.target)) {
+        if (known == current.positions.end() || current.rejected.contains(candidate.target) ||
+            !candidate.listed) {
+            continue;
+        }
+        if (input.synchronous_replicas > 0 && known->second.received < newest) {
+            // The replicas with the newest position may be the only ones with the last acknowledged
+            // commits.
             continue;
         }
         const std::tuple<bool, bool, replication_position> rank{
@@ -128,7 +163,11 @@
         return;
     }
     // The primary is only demoted once there is a target that can replace it.
-    if (!inspection_done(now, input, current)) {
+    if (!inspection_done(now, input, current) || !choose(input, current).has_value()) {
+        if (now - current.inspected_at > settings_.inspection_limit) {
+            inspect(now, input, current, steps);
+            std::get<inspect_replicas>(steps.back()).awaited = awaited_replicas(input, current);
+        }
         return;
     }
     if (current.leading_term > 0 && current.leading_term >= current.newest_term) {
--- a/packages/proxy/test/engine/fake_cluster.hpp
+++ b/packages/proxy/test/engine/fake_cluster.hpp
@@ -102,14 +102,16 @@
         add("latest", read_consistency::latest, 0ms);
         add("bounded", read_consistency::bounded_staleness, 1000ms);
         add("own", read_consistency::read_your_writes, 2000ms);
-        config.services[core::service_id{"s"}] = {30, 0};
+        config.services[core::service_id{"s"}] = {30, synchronous_replicas};
         apply(configuration_changed{config});
     }
 
     void list_targets() {
         targets_listed listed;
         for (const auto& [id, known] : targets) {
-            listed.targets.push_back(known.record);
+            if (!unlisted.contains(id)) {
+                listed.targets.push_back(known.record);
+            }
         }
         apply(listed);
     }
@@ -305,6 +307,9 @@
     std::mt19937& random() noexcept { return random_; }
 
     std::map<core::target_id, target> targets;
+    /// Targets whose entries the registry has removed.
+    std::set<core::target_id> unlisted;
+    unsigned synchronous_replicas = 0;
     std::vector<host_record> hosts;
     /// The registry answers this host.
     bool registry_available = true;
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -40,6 +40,18 @@
     return given->result.error.has_value() ? given->result.error->text : "";
 }
 
+/// @brief Crashes the primary t0, which all hosts report, and gives this host the promotion lock.
+void lose_primary(fake_cluster& cluster) {
+    cluster.targets.at(t0).crashed = true;
+    cluster.disconnect(t0);
+    cluster.run_for(500ms);
+    for (const char* const host : {"host-2", "host-3"}) {
+        cluster.apply(suspicion_reported{{core::service_id{"s"}, t0, core::host_id{host}}});
+    }
+    cluster.run_for(500ms);
+    cluster.apply(promotion_lock_answered{promotion_lock_result::acquired, 7, 8000ms});
+}
+
 } // namespace
 
 // Guards against running writes, or reads that accept no staleness, on replicas.
@@ -311,6 +323,54 @@
     BOOST_TEST(cluster.performed<acquire_promotion_lock>().size() == 1U);
 }
 
+// Guards against losing acknowledged commits: the synchronous replica that has them is cut off from
+// the registry when the primary crashes, and the other replica is behind (review/1).
+BOOST_AUTO_TEST_CASE(an_unlisted_replica_with_the_last_commits_is_promoted_once_it_is_listed) {
+    fake_cluster cluster;
+    cluster.synchronous_replicas = 1;
+    cluster.start_reference();
+    cluster.run_for(500ms);
+    cluster.targets.at(t1).lag = 60s;
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    cluster.unlisted.insert(t2);
+    cluster.list_targets();
+    cluster.run_for(5s);
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    lose_primary(cluster);
+    cluster.run_for(2s);
+    BOOST_TEST(cluster.performed<promote_target>().empty());
+    cluster.unlisted.clear();
+    cluster.list_targets();
+    cluster.run_for(1500ms);
+    BOOST_REQUIRE(!cluster.performed<promote_target>().empty());
+    BOOST_TEST((cluster.performed<promote_target>().front().target == t2));
+}
+
+// Guards against a service without a primary for longer than needed: a replica that ended, and
+// whose address another target took over, holds nothing.
+BOOST_AUTO_TEST_CASE(a_replica_whose_address_is_taken_over_is_not_waited_for) {
+    fake_cluster cluster;
+    cluster.synchronous_replicas = 1;
+    cluster.start_reference();
+    cluster.run_for(500ms);
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    cluster.unlisted.insert(t2);
+    fake_cluster::target successor = cluster.targets.at(t2);
+    successor.record.id = core::target_id{"t3"};
+    cluster.targets[successor.record.id] = successor;
+    cluster.targets.at(t2).crashed = true;
+    cluster.list_targets();
+    cluster.run_for(500ms);
+    lose_primary(cluster);
+    cluster.run_for(1500ms);
+    BOOST_TEST(!cluster.performed<promote_target>().empty());
+}
+
 // Guards against isolated hosts that keep accepting callers. Hosts of a partitioned failure domain
 // kept their callers until their deadlines (found on every standard day).
 BOOST_AUTO_TEST_CASE(a_host_that_reaches_no_other_domain_reports_not_ready) {
--- a/packages/proxy/test/promotion/failover_coordinator_test.cpp
+++ b/packages/proxy/test/promotion/failover_coordinator_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <ostream>
 #include <string>
@@ -226,6 +227,94 @@
     BOOST_TEST((call->target == b));
 }
 
+namespace {
+
+struct holder_case {
+    const char* name;
+    std::vector<promotion_candidate> replicas;
+    std::vector<std::pair<core::target_id, target_status>> positions;
+    std::vector<core::target_id> rejected;
+    /// Empty if the failover waits.
+    std::string expected;
+
+    friend std::ostream& operator<<(std::ostream& output, const holder_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<holder_case> holder_cases{
+    {"the unlisted replica is unknown", {{a, false}, {b, false, false}}, {{a, at(7)}}, {}, ""},
+    {"the unlisted replica is ahead",
+     {{a, false}, {b, false, false}},
+     {{a, at(7)}, {b, at(9)}},
+     {},
+     ""},
+    {"a listed replica is as complete",
+     {{a, false}, {b, false, false}},
+     {{a, at(9)}, {b, at(9)}},
+     {},
+     "a"},
+    {"the unlisted replica is behind",
+     {{a, false}, {b, false, false}},
+     {{a, at(9)}, {b, at(7)}},
+     {},
+     "a"},
+    {"the most complete replica is listed again",
+     {{a, false}, {b, false}},
+     {{a, at(7)}, {b, at(9)}},
+     {},
+     "b"},
+    {"the most complete replica is not running",
+     {{a, false}, {b, false}},
+     {{a, at(7)}, {b, at(9)}},
+     {b},
+     ""},
+};
+
+} // namespace
+
+// Guards against losing acknowledged commits that only a replica has whose entry has lapsed, or
+// that cannot be promoted at the moment (review/1: 190 commits lost).
+BOOST_DATA_TEST_CASE(the_replica_with_the_acknowledged_commits_is_waited_for,
+                     boost::unit_test::data::make(holder_cases), sample) {
+    failover_input input = lost(1);
+    input.replicas = sample.replicas;
+    failover_coordinator made = inspecting(input);
+    for (const auto& [target, status] : sample.positions) {
+        made.on_status(start, service, target, status);
+    }
+    std::string called;
+    for (core::duration elapsed = 10ms; elapsed <= 2s; elapsed += 10ms) {
+        for (const failover_step& step : made.advance(start + elapsed, {input})) {
+            if (const demote_primary* const demotion = std::get_if<demote_primary>(&step)) {
+                made.on_status(start + elapsed, service, demotion->demotion.target, at(7));
+            }
+            if (const call_promotion* const call = std::get_if<call_promotion>(&step)) {
+                const bool rejected = std::find(sample.rejected.begin(), sample.rejected.end(),
+                                                call->target) != sample.rejected.end();
+                called = rejected ? "" : call->target.value;
+                made.on_promotion(start + elapsed, {service, call->target,
+                                                    rejected ? promotion_result::rejected
+                                                             : promotion_result::accepted});
+            }
+        }
+    }
+    BOOST_TEST(called == sample.expected);
+}
+
+// Guards against a failover that never goes on after it waited: positions are queried again.
+BOOST_AUTO_TEST_CASE(awaited_replicas_are_queried_again_and_named) {
+    failover_input input = lost(1);
+    input.replicas = {{a, false}, {b, false, false}};
+    failover_coordinator made = inspecting(input);
+    made.on_status(start, service, a, at(7));
+    const std::optional<inspect_replicas> again =
+        only<inspect_replicas>(made.advance(start + 700ms, {input}));
+    BOOST_REQUIRE(again.has_value());
+    BOOST_TEST(again->hold_term == 5U);
+    BOOST_TEST((again->awaited == std::vector<core::target_id>{b}));
+}
+
 // Guards against calls under an expired lock, for example after a suspension of the machine.
 BOOST_AUTO_TEST_CASE(no_call_after_the_lock_has_expired) {
     failover_coordinator made = inspecting(lost());
