Keep a session's position for each service

Cause: a session kept the newest position of the service used last only. Also, statements of a transaction that was rolled back left no position, though the session had been shown their data.

Change: a session keeps the newest position of each service, bounded by the services of the configuration; it never goes back.

--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -152,6 +152,11 @@
     [[nodiscard]] target_state* primary_of(const service_state& service);
     [[nodiscard]] std::optional<replication_position>
     required_position(const session& caller) const;
+    /// @return Newest log position of the service that the session has written or been shown.
+    [[nodiscard]] static std::optional<replication_position>
+    seen_position(const session& caller, const core::service_id& service);
+    void record_seen(session& caller, const core::service_id& service,
+                     const std::optional<replication_position>& position) const;
     [[nodiscard]] bool needs_primary(const session& caller) const;
     /// @return False if this host and the primary may have been cut off together from the other
     /// hosts for so long that another target leads at the given time.
--- a/packages/proxy/include/lovagemoor/proxy/session/session.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/session/session.hpp
@@ -88,9 +88,9 @@
     std::optional<request> current;
     /// Statements that arrived before the answer to the current one.
     std::deque<statement> backlog;
-    /// Service and newest log position that the session has written or read.
-    core::service_id seen_service;
-    std::optional<replication_position> seen;
+    /// Newest log position that the session has written or been shown, by service. A route may move
+    /// to another service and back.
+    std::map<core::service_id, replication_position> seen;
     bool close_when_idle = false;
 };
 
--- a/packages/proxy/src/engine/session_engine_replies.cpp
+++ b/packages/proxy/src/engine/session_engine_replies.cpp
@@ -272,12 +272,8 @@
     }
     const core::service_id service = work.via->service;
     const session_id id = caller.id;
-    if (!result.error.has_value() && result.position.has_value()) {
-        if (caller.seen_service != service || !caller.seen.has_value() ||
-            *result.position > *caller.seen) {
-            caller.seen = result.position;
-        }
-        caller.seen_service = service;
+    if (!result.error.has_value()) {
+        record_seen(caller, service, result.position);
     }
     log_if_objective_missed(caller);
     count_request(work, result.error.has_value() ? to_string(result.error->kind) : "done");
@@ -324,11 +320,8 @@
         process_backlog(id);
         return;
     }
+    record_seen(caller, work.via->service, result.position);
     if (ended) {
-        if (result.position.has_value()) {
-            caller.seen = result.position;
-            caller.seen_service = work.via->service;
-        }
         caller.transaction.reset();
         caller.state = session_state::idle;
     }
--- a/packages/proxy/src/engine/session_engine_requests.cpp
+++ b/packages/proxy/src/engine/session_engine_requests.cpp
@@ -238,11 +238,29 @@
         caller.transaction.has_value() ? caller.transaction->began : work.received;
     std::optional<replication_position> bound =
         service->second.checks.bound(arrived - work.via->max_staleness);
-    if (bound.has_value() && caller.seen.has_value() && caller.seen_service == work.via->service &&
-        *caller.seen > *bound) {
-        bound = caller.seen;
+    const std::optional<replication_position> seen = seen_position(caller, work.via->service);
+    return bound.has_value() ? std::max(bound, seen) : std::nullopt;
+}
+
+std::optional<replication_position> session_engine::seen_position(const session& caller,
+                                                                  const core::service_id& service) {
+    const auto found = caller.seen.find(service);
+    return found == caller.seen.end() ? std::nullopt
+                                      : std::optional<replication_position>{found->second};
+}
+
+void session_engine::record_seen(session& caller, const core::service_id& service,
+                                 const std::optional<replication_position>& position) const {
+    if (!position.has_value()) {
+        return;
+    }
+    replication_position& newest = caller.seen[service];
+    newest = std::max(newest, *position);
+    if (configuration_.has_value() && caller.seen.size() > configuration_->services.size()) {
+        std::erase_if(caller.seen, [&](const auto& entry) {
+            return entry.first != service && !configuration_->services.contains(entry.first);
+        });
     }
-    return bound;
 }
 
 std::optional<core::target_id> session_engine::choose_replica(session& caller) {
--- a/packages/proxy/src/engine/session_engine_sessions.cpp
+++ b/packages/proxy/src/engine/session_engine_sessions.cpp
@@ -160,7 +160,9 @@
 void session_engine::answer(session& caller, statement_result result) {
     result.state = caller.state;
     if (!result.position.has_value()) {
-        result.position = caller.seen;
+        const std::shared_ptr<const route> via =
+            caller.transaction.has_value() ? caller.transaction->via : find_route(caller.database);
+        result.position = via == nullptr ? std::nullopt : seen_position(caller, via->service);
     }
     if (caller.transaction.has_value()) {
         caller.transaction->idle_since = now_;
--- a/packages/proxy/test/engine/fake_cluster.hpp
+++ b/packages/proxy/test/engine/fake_cluster.hpp
@@ -91,18 +91,23 @@
         list_targets();
     }
 
-    void configure(std::int64_t version) {
+    /// @param own_service Service of the route "own".
+    void configure(std::int64_t version, const std::string& own_service = "s") {
         configuration config;
         config.version = version;
         const auto add = [&](const char* database, read_consistency reads,
-                             std::chrono::milliseconds staleness) {
-            route added{database, core::service_id{"s"}, reads, staleness, 1000ms, 200ms, 1};
+                             std::chrono::milliseconds staleness,
+                             const std::string& service = "s") {
+            route added{database, core::service_id{service}, reads, staleness, 1000ms, 200ms, 1};
             config.routes[database] = std::make_shared<const route>(added);
         };
         add("latest", read_consistency::latest, 0ms);
         add("bounded", read_consistency::bounded_staleness, 1000ms);
-        add("own", read_consistency::read_your_writes, 2000ms);
+        add("own", read_consistency::read_your_writes, 2000ms, own_service);
         config.services[core::service_id{"s"}] = {30, synchronous_replicas};
+        if (own_service != "s") {
+            config.services[core::service_id{own_service}] = {30, 0};
+        }
         apply(configuration_changed{config});
     }
 
@@ -242,8 +247,8 @@
     void write_elsewhere() {
         target& leader = targets.at(leader_);
         append(leader, "other-" + std::to_string(++last_statement_));
-        acknowledged_.push_back(
-            {now_, leader.log.size() - 1, 0, false, leader.log.back().statement_id});
+        acknowledged_.push_back({now_, leader.log.size() - 1, 0, false,
+                                 leader.log.back().statement_id, leader.record.service});
     }
 
     void disconnect(const core::target_id& id) {
@@ -351,6 +356,7 @@
         session_id session = 0;
         bool rolled_back = false;
         std::string statement_id;
+        core::service_id service;
     };
 
     static std::string text_of(statement_kind kind) {
@@ -628,6 +634,9 @@
                                          : database == "bounded" ? core::duration{1s}
                                                                  : core::duration{2s};
         for (const acknowledged_commit& entry : acknowledged_) {
+            if (entry.service != at.record.service) {
+                continue;
+            }
             if (entry.rolled_back || (entry.index < at.log.size() &&
                                       at.log[entry.index].statement_id == entry.statement_id)) {
                 continue;
@@ -687,7 +696,8 @@
                     continue;
                 }
                 if (target_id == leader_) {
-                    acknowledged_.push_back({now_, index, session, false, id});
+                    acknowledged_.push_back(
+                        {now_, index, session, false, id, known.record.service});
                 } else {
                     violations_.push_back("commit of a replaced primary acknowledged: " + id);
                 }
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <ostream>
 #include <set>
 #include <string>
@@ -96,6 +97,92 @@
     BOOST_TEST(cluster.violations().empty());
 }
 
+namespace {
+
+struct between_case {
+    const char* name;
+    /// What happens between the write of a session and its read.
+    std::function<void(fake_cluster&, session_id)> happens;
+
+    friend std::ostream& operator<<(std::ostream& output, const between_case& value) {
+        return output << value.name;
+    }
+};
+
+void add_service(fake_cluster& cluster, const std::string& service) {
+    fake_cluster::target added = cluster.targets.at(t0);
+    added.record.id = core::target_id{service + "0"};
+    added.record.service = core::service_id{service};
+    added.log.clear();
+    cluster.targets[added.record.id] = added;
+    cluster.list_targets();
+    cluster.run_for(50ms);
+}
+
+void move_and_back(fake_cluster& cluster, session_id caller) {
+    add_service(cluster, "o");
+    cluster.configure(2, "o");
+    cluster.send(caller, kind::read, "x");
+    cluster.run_for(100ms);
+    cluster.configure(3, "s");
+}
+
+void move_within_a_transaction(fake_cluster& cluster, session_id caller) {
+    add_service(cluster, "o");
+    cluster.configure(2, "o");
+    cluster.send(caller, kind::begin, "", "", true);
+    cluster.send(caller, kind::read, "x");
+    cluster.run_for(100ms);
+    cluster.configure(3, "s");
+    cluster.send(caller, kind::commit);
+    cluster.run_for(50ms);
+}
+
+const std::vector<between_case> between_cases{
+    {"nothing", [](fake_cluster&, session_id) {}},
+    {"the route moves away and back", move_and_back},
+    {"the route moves back while a transaction is open", move_within_a_transaction},
+    {"a configuration with another time limit",
+     [](fake_cluster& cluster, session_id) { cluster.configure(2); }},
+    {"a transaction that only reads",
+     [](fake_cluster& cluster, session_id caller) {
+         cluster.send(caller, kind::begin, "", "", true);
+         cluster.send(caller, kind::read, "x");
+         cluster.send(caller, kind::commit);
+         cluster.run_for(100ms);
+     }},
+    {"a transaction that is rolled back",
+     [](fake_cluster& cluster, session_id caller) {
+         cluster.send(caller, kind::begin);
+         cluster.send(caller, kind::write, "y");
+         cluster.send(caller, kind::rollback);
+         cluster.run_for(100ms);
+     }},
+};
+
+} // namespace
+
+// Guards against reads that miss the session's own write: a session remembered its position for the
+// service that it had used last only (review/2).
+BOOST_DATA_TEST_CASE(an_own_write_is_read_whatever_happens_in_between,
+                     boost::unit_test::data::make(between_cases), sample) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("own");
+    cluster.send(caller, kind::read, "x");
+    cluster.run_for(600ms);
+    for (auto& [id, target] : cluster.targets) {
+        target.lag = 30s;
+    }
+    const std::string write = cluster.send(caller, kind::write, "x");
+    cluster.run_for(50ms);
+    BOOST_REQUIRE(error_of(cluster, write) == "");
+    sample.happens(cluster, caller);
+    const std::string read = cluster.send(caller, kind::read, "x");
+    cluster.run_for(300ms);
+    BOOST_TEST(error_of(cluster, read) == "");
+    BOOST_TEST(cluster.violations().empty());
+}
+
 // Guards against reporting a write as not run if its answer was lost with the connection.
 BOOST_AUTO_TEST_CASE(a_write_with_a_lost_answer_is_in_doubt) {
     fake_cluster cluster = started();
