Take up waiting statements in one place, however a request ends

Cause: a request could end in nine places, each of which had to start the session's next statement by a call of its own. Five did not, and a statement that arrived then was started ahead of those that waited.

Change: a request ends in end_request only, which marks the session; the engine takes up what waits once each event has been processed. A statement that arrives goes behind those that wait.

The simulated cluster checks signatures and closes sessions, so that a session closed before an answer counts as a violation.

--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -14,6 +14,7 @@
 #include <lovagemoor/proxy/session/session.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -118,6 +119,9 @@
 
     // Sessions, session_engine_sessions.cpp
     void start_statement(session& caller, const statement& work);
+    /// @brief Takes up the statements that wait in sessions whose request has ended. Runs once each
+    /// event has been processed, so that no request starts while another one is being ended.
+    void resume_sessions();
     void process_backlog(session_id id);
     bool answer_locally(session& caller, const statement& work);
     void begin_transaction(session& caller, const statement& work);
@@ -181,6 +185,9 @@
     void send(target_connection& connection, std::vector<target_command> commands, reply_role role);
     void retry_or_refuse(session& caller, const core::target_id& target, statement_error error);
     void refuse(session& caller, statement_error error);
+    /// @brief Answers the current request, the only way in which it ends. The session's next
+    /// statement follows.
+    void end_request(session& caller, statement_result result);
     void time_out_request(session& caller);
     [[nodiscard]] connection_limit limit_of(const target_state& target) const;
     void update_min_connections();
@@ -286,6 +293,8 @@
     core::time_point now_;
     action_list out_;
     std::map<session_id, session> sessions_;
+    /// Sessions that may start a waiting statement.
+    std::deque<session_id> resumable_;
     target_pool pool_;
     std::map<core::service_id, service_state> services_;
     std::optional<configuration> configuration_;
--- a/packages/proxy/src/engine/session_engine.cpp
+++ b/packages/proxy/src/engine/session_engine.cpp
@@ -24,8 +24,10 @@
     }
     out_.clear();
     std::visit([this](const auto& specific) { on(specific); }, input);
+    resume_sessions();
     if (now_ - last_periodic_run_ >= internal::periodic_interval) {
         on(timer_expired{});
+        resume_sessions();
     }
     return std::exchange(out_, {});
 }
@@ -53,20 +55,15 @@
         return;
     }
     session& caller = found->second;
-    if (caller.current.has_value()) {
-        if (caller.backlog.size() >= settings_.max_backlog) {
-            log(core::log_event::level::warning, "session_closed",
-                {{"session", std::to_string(caller.id)}, {"reason", "too many statements ahead"}});
-            out_.emplace_back(close_session{caller.id});
-            on(session_closed{caller.id});
-            return;
-        }
-        caller.backlog.push_back(input.statement);
+    if (caller.current.has_value() && caller.backlog.size() >= settings_.max_backlog) {
+        log(core::log_event::level::warning, "session_closed",
+            {{"session", std::to_string(caller.id)}, {"reason", "too many statements ahead"}});
+        out_.emplace_back(close_session{caller.id});
+        on(session_closed{caller.id});
         return;
     }
-    const session_id id = input.session;
-    start_statement(caller, input.statement);
-    process_backlog(id);
+    caller.backlog.push_back(input.statement);
+    resumable_.push_back(caller.id);
 }
 
 void session_engine::on(const session_closed& input) {
--- a/packages/proxy/src/engine/session_engine_periodic.cpp
+++ b/packages/proxy/src/engine/session_engine_periodic.cpp
@@ -44,7 +44,6 @@
         const auto found = sessions_.find(id);
         if (found != sessions_.end() && found->second.current.has_value()) {
             time_out_request(found->second);
-            process_backlog(id);
         }
     }
 }
--- a/packages/proxy/src/engine/session_engine_replies.cpp
+++ b/packages/proxy/src/engine/session_engine_replies.cpp
@@ -263,30 +263,22 @@
             return;
         }
     } else if (work.writes && superseded(connection.target, result)) {
-        const session_id id = caller.id;
         refuse(caller, {statement_error_kind::in_doubt, "written to a former primary", {}});
-        process_backlog(id);
         return;
     } else if (work.writes && result.position.has_value()) {
         confirm_primary(connection.target, work.sent, *result.position);
     }
-    const core::service_id service = work.via->service;
-    const session_id id = caller.id;
     if (!result.error.has_value()) {
-        record_seen(caller, service, result.position);
+        record_seen(caller, work.via->service, result.position);
     }
     log_if_objective_missed(caller);
     count_request(work, result.error.has_value() ? to_string(result.error->kind) : "done");
-    caller.current.reset();
-    answer(caller, result);
-    close_if_done(caller);
-    process_backlog(id);
+    end_request(caller, result);
 }
 
 void session_engine::finish_in_transaction(session& caller, target_connection& connection,
                                            const statement_result& result) {
     request& work = *caller.current;
-    const session_id id = caller.id;
     if (result.error.has_value()) {
         const statement_error error = *result.error;
         const core::target_id target = connection.target;
@@ -306,18 +298,17 @@
         log_request("transaction_failed", caller,
                     std::string{to_string(error.kind)} + " at " + target.value);
         count_request(work, to_string(error.kind));
-        caller.current.reset();
         detach_transaction(caller);
         caller.state = session_state::failed_transaction;
-        answer_error(caller, error);
-        process_backlog(id);
+        statement_result failure;
+        failure.error = error;
+        end_request(caller, std::move(failure));
         return;
     }
     ++caller.transaction->answered;
     const bool ended = work.work.kind == statement_kind::commit;
     if (ended && !caller.transaction->read_only && superseded(connection.target, result)) {
         refuse(caller, {statement_error_kind::in_doubt, "committed at a former primary", {}});
-        process_backlog(id);
         return;
     }
     record_seen(caller, work.via->service, result.position);
@@ -327,10 +318,7 @@
     }
     log_if_objective_missed(caller);
     count_request(work, "done");
-    caller.current.reset();
-    answer(caller, result);
-    close_if_done(caller);
-    process_backlog(id);
+    end_request(caller, result);
 }
 
 void session_engine::on(const target_disconnected& input) {
--- a/packages/proxy/src/engine/session_engine_requests.cpp
+++ b/packages/proxy/src/engine/session_engine_requests.cpp
@@ -359,7 +359,6 @@
         if (found != sessions_.end() && found->second.current.has_value() &&
             found->second.current->phase == request_phase::waiting) {
             dispatch_request(found->second);
-            process_backlog(id);
         }
     }
     refuse_unservable(service);
@@ -394,7 +393,6 @@
     for (const session_id id : unservable) {
         refuse(sessions_.at(id), {statement_error_kind::busy, "the targets are overloaded",
                                   std::chrono::ceil<std::chrono::milliseconds>(queue_time)});
-        process_backlog(id);
     }
 }
 
@@ -543,13 +541,19 @@
     log_request(internal::log_event_of(error.kind), caller, error.text);
     count_request(work, to_string(error.kind));
     std::erase(services_[work.via->service].waiting, caller.id);
-    caller.current.reset();
     if (caller.transaction.has_value()) {
         detach_transaction(caller);
         caller.state = session_state::failed_transaction;
     }
-    answer_error(caller, std::move(error));
-    close_if_done(caller);
+    statement_result result;
+    result.error = std::move(error);
+    end_request(caller, std::move(result));
+}
+
+void session_engine::end_request(session& caller, statement_result result) {
+    caller.current.reset();
+    resumable_.push_back(caller.id);
+    answer(caller, std::move(result));
 }
 
 void session_engine::log_request(const char* name, const session& caller, std::string reason) {
--- a/packages/proxy/src/engine/session_engine_sessions.cpp
+++ b/packages/proxy/src/engine/session_engine_sessions.cpp
@@ -27,16 +27,28 @@
     return work.kind == statement_kind::write;
 }
 
+void session_engine::resume_sessions() {
+    while (!resumable_.empty()) {
+        const session_id id = resumable_.front();
+        resumable_.pop_front();
+        process_backlog(id);
+    }
+}
+
 void session_engine::process_backlog(session_id id) {
     for (;;) {
         const auto found = sessions_.find(id);
-        if (found == sessions_.end() || found->second.current.has_value() ||
-            found->second.backlog.empty()) {
+        if (found == sessions_.end() || found->second.current.has_value()) {
+            return;
+        }
+        session& caller = found->second;
+        if (caller.backlog.empty()) {
+            close_if_done(caller);
             return;
         }
-        const statement next = std::move(found->second.backlog.front());
-        found->second.backlog.pop_front();
-        start_statement(found->second, next);
+        const statement next = std::move(caller.backlog.front());
+        caller.backlog.pop_front();
+        start_statement(caller, next);
     }
 }
 
@@ -136,7 +148,6 @@
     caller.transaction_error.reset();
     caller.state = session_state::idle;
     answer_success(caller);
-    close_if_done(caller);
 }
 
 void session_engine::detach_transaction(session& caller) {
--- a/packages/proxy/test/engine/fake_cluster.hpp
+++ b/packages/proxy/test/engine/fake_cluster.hpp
@@ -155,6 +155,22 @@
         return found == pending_.end() || found->second.empty();
     }
 
+    /// @return True if this host has closed the session.
+    [[nodiscard]] bool is_closed(session_id id) const { return closed_.contains(id); }
+
+    [[nodiscard]] const std::string& database_of(session_id id) const {
+        return session_databases_.at(id);
+    }
+
+    /// @return Number of statements without an answer.
+    [[nodiscard]] std::size_t unanswered() const {
+        std::size_t count = 0;
+        for (const auto& [session, statements] : pending_) {
+            count += statements.size();
+        }
+        return count;
+    }
+
     /// @return True if the session is in a transaction, failed or not.
     [[nodiscard]] bool in_transaction(session_id id) const {
         return open_transactions_.contains(id);
@@ -387,6 +403,7 @@
                        [this](const send_commands& value) { deliver(value); },
                        [this](const close_target& value) { close_connection(value.connection); },
                        [this](const answer_statement& value) { record_answer(value); },
+                       [this](const close_session& value) { end_session(value.session); },
                        [this](const list_demotions& /*value*/) { answer_demotions(); },
                        [this](const contact_registry& /*value*/) {
                            if (registry_available) {
@@ -404,6 +421,16 @@
                    wanted);
     }
 
+    void end_session(session_id id) {
+        if (!pending_[id].empty()) {
+            violations_.push_back("session closed before an answer: " + pending_[id].front());
+            pending_[id].clear();
+        }
+        if (closed_.insert(id).second) {
+            after(core::duration{0}, [this, id] { apply(session_closed{id}); });
+        }
+    }
+
     void answer_demotions() {
         after(registry_available ? delay() : core::duration{100ms}, [this] {
             if (registry_available) {
@@ -553,7 +580,7 @@
             return;
         }
         runs_[command.id].push_back(at.record.id);
-        reply.result.signature = "signed";
+        reply.result.signature = "signed " + command.id;
         if (commits) {
             for (const std::string& write : connection.uncommitted) {
                 append(at, write);
@@ -662,6 +689,10 @@
         answers_[id] = {now_, given.result};
         const sent_statement& sent = statements_.at(id);
         const bool failed = given.result.error.has_value();
+        if (!failed && !given.result.signature.empty() &&
+            given.result.signature != "signed " + id) {
+            violations_.push_back("answer of another statement: " + id);
+        }
         if (sent.kind == statement_kind::begin && !failed) {
             open_transactions_.insert(given.session);
         }
@@ -735,6 +766,7 @@
     std::map<session_id, std::map<std::string, std::string>> session_values_;
     std::map<session_id, core::time_point> transaction_began_;
     std::set<session_id> open_transactions_;
+    std::set<session_id> closed_;
     std::map<std::string, sent_statement> statements_;
     std::map<session_id, std::vector<std::string>> pending_;
     std::map<std::string, received_answer> answers_;
--- a/packages/proxy/test/engine/random_faults_test.cpp
+++ b/packages/proxy/test/engine/random_faults_test.cpp
@@ -34,7 +34,10 @@
 
     /// @param replacing Primaries are replaced by other hosts while they go on, instead of the
     /// other faults.
-    const fake_cluster& play(bool replacing = false) {
+    /// @param ahead Maximum number of statements that a caller outside of transactions sends before
+    /// the first of them is answered.
+    const fake_cluster& play(bool replacing = false, std::size_t ahead = 1) {
+        ahead_ = ahead;
         for (int step = 0; step < steps; ++step) {
             if (replacing) {
                 advance_replacement();
@@ -46,7 +49,8 @@
             }
             cluster_.run_for(core::duration{static_cast<int>(draw(60'000))});
         }
-        cluster_.run_for(5s);
+        // Each outstanding statement may take its time limit of 1 s.
+        cluster_.run_for(5s * static_cast<int>(ahead));
         return cluster_;
     }
 
@@ -57,10 +61,21 @@
 
     bool chance(std::size_t percent) { return draw(100) < percent; }
 
-    void act(session_id sender) {
+    void act(session_id& sender) {
+        if (cluster_.is_closed(sender)) {
+            sender = cluster_.open(cluster_.database_of(sender));
+        }
         if (!cluster_.is_idle(sender)) {
             return;
         }
+        if (ahead_ > 1) {
+            const std::size_t count = 1 + draw(ahead_);
+            for (std::size_t sent = 0; sent < count && !cluster_.is_closed(sender); ++sent) {
+                cluster_.send(sender, chance(40) ? kind::write : kind::read,
+                              "item" + std::to_string(draw(5)));
+            }
+            return;
+        }
         const bool in_transaction = cluster_.in_transaction(sender);
         if (!in_transaction && chance(25)) {
             cluster_.send(sender, kind::begin, {}, {}, chance(30));
@@ -157,6 +172,7 @@
 
     fake_cluster cluster_;
     std::vector<session_id> sessions_;
+    std::size_t ahead_ = 1;
     int stage_ = 0;
     core::time_point next_step_at_;
     core::target_id former_;
@@ -184,6 +200,18 @@
                "seed " << seed << ": " << (violations.empty() ? "" : violations.front()));
 }
 
+// Guards against statements that are passed over, answered out of order or never, with several of a
+// session outstanding (review/3). Each statement has exactly one answer, which is its own.
+BOOST_DATA_TEST_CASE(each_of_several_outstanding_statements_has_its_own_answer,
+                     boost::unit_test::data::make(seeds()), seed) {
+    fault_run run{seed};
+    const fake_cluster& cluster = run.play(false, 8);
+    const std::vector<std::string>& violations = cluster.violations();
+    BOOST_TEST(violations.empty(),
+               "seed " << seed << ": " << (violations.empty() ? "" : violations.front()));
+    BOOST_TEST(cluster.unanswered() == 0U);
+}
+
 // Checks the guarantees to callers while primaries are replaced and go on: also no commit of a
 // replaced primary is acknowledged.
 BOOST_DATA_TEST_CASE(guarantees_hold_while_replaced_primaries_go_on,
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -219,6 +219,89 @@
     BOOST_TEST(error_of(cluster, read) == "");
 }
 
+namespace {
+
+struct end_case {
+    const char* name;
+    const char* database;
+    kind work;
+    /// Prepares the targets before the statement is sent.
+    std::function<void(fake_cluster&)> before;
+    /// What happens once the statement has reached its target or waits.
+    std::function<void(fake_cluster&)> after;
+
+    friend std::ostream& operator<<(std::ostream& output, const end_case& value) {
+        return output << value.name;
+    }
+};
+
+void lose_answers(fake_cluster& cluster) {
+    for (auto& [id, target] : cluster.targets) {
+        target.lost_answers = 1;
+    }
+}
+
+void disconnect_all(fake_cluster& cluster) {
+    for (const core::target_id& id : {t0, t1, t2}) {
+        cluster.disconnect(id);
+    }
+}
+
+void nothing(fake_cluster& /*cluster*/) {}
+
+/// Ways in which the first of several statements ends.
+const std::vector<end_case> end_cases{
+    {"answered", "own", kind::write, nothing, nothing},
+    {"in doubt", "own", kind::write, lose_answers, disconnect_all},
+    {"retried", "bounded", kind::read, lose_answers, disconnect_all},
+    {"in doubt after its time limit", "own", kind::write, lose_answers, nothing},
+    {"timed out", "bounded", kind::read, lose_answers, nothing},
+    {"refused without a primary", "latest", kind::write,
+     [](fake_cluster& cluster) {
+         cluster.apply(registry_reachable{false});
+         cluster.targets.at(t0).crashed = true;
+         cluster.disconnect(t0);
+         cluster.run_for(600ms);
+     },
+     nothing},
+    {"refused by a former primary", "latest", kind::write,
+     [](fake_cluster& cluster) { cluster.promote(t1); }, nothing},
+    {"refused by a busy target", "latest", kind::write,
+     [](fake_cluster& cluster) { cluster.targets.at(t0).busy = true; },
+     [](fake_cluster& cluster) {
+         cluster.run_for(2s);
+         cluster.targets.at(t0).busy = false;
+     }},
+    {"answered by this host", "latest", kind::rollback, nothing, nothing},
+};
+
+} // namespace
+
+// Guards against a statement that is passed over when the one before it ends without an answer of
+// its target, and gets the answer of the one after it (review/3).
+BOOST_DATA_TEST_CASE(waiting_statements_follow_however_a_request_ends,
+                     boost::unit_test::data::make(end_cases) *
+                         boost::unit_test::data::make({0, 1, 5}),
+                     sample, waiting) {
+    fake_cluster cluster = started();
+    const session_id warm = cluster.open("bounded");
+    cluster.send(warm, kind::read, "x");
+    cluster.run_for(600ms);
+    const session_id caller = cluster.open(sample.database);
+    sample.before(cluster);
+    std::vector<std::string> sent{cluster.send(caller, sample.work, "x")};
+    for (int index = 0; index < waiting; ++index) {
+        sent.push_back(cluster.send(caller, kind::read, "y"));
+    }
+    cluster.run_for(20ms);
+    sample.after(cluster);
+    cluster.run_for(1500ms * (waiting + 2));
+    for (const std::string& id : sent) {
+        BOOST_TEST(cluster.answer(id).has_value());
+    }
+    BOOST_TEST(cluster.violations().empty());
+}
+
 // Guards against statements that run outside of their transaction or with the values of another
 // session on a shared connection.
 BOOST_AUTO_TEST_CASE(transactions_and_values_stay_with_their_session) {
