End a planned stop in time under pipelined statements

Cause: a session closed only at a moment without a request and without a waiting statement, and a caller that keeps two outstanding leaves none. Besides, closing a connection with unread bytes reset it, so that callers lost answers they had not read, and the process ended while answers were still being sent.

Change: after a third of the grace time statements that have not begun are refused as not run and the session closes; open transactions have half of it; in the last sixth statements that wait for a target are refused. Closed connections are half-closed first, and the process waits for them until 0.5 s before the end of the grace time.

--- a/packages/gateway/include/lovagemoor/gateway/caller_listener.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/caller_listener.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace lovagemoor::gateway {
 
@@ -38,6 +39,10 @@
     /// @brief Sends the output that perform() has buffered.
     void flush();
 
+    /// @return True while a session that this host has closed still has output to send or waits for
+    /// its caller to close its side.
+    [[nodiscard]] bool closing() const;
+
     [[nodiscard]] std::size_t session_count() const noexcept { return callers_.size(); }
 
 private:
@@ -60,6 +65,8 @@
 
     std::map<proxy::session_id, caller> callers_;
     std::set<proxy::session_id> unflushed_;
+    /// Streams of sessions that this host has closed.
+    std::vector<std::weak_ptr<line_stream>> closing_;
     /// Receives output for sessions that are already closed.
     std::string discarded_;
 };
--- a/packages/gateway/include/lovagemoor/gateway/line_stream.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/line_stream.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,6 +31,8 @@
     static constexpr std::size_t max_line_bytes = 1U << 20U;
     /// Limit on bytes that wait to be sent. A stream whose peer does not read is closed above it.
     static constexpr std::size_t max_unsent_bytes = 4U << 20U;
+    /// Time for a peer to close its side after this one has been closed. Several round trips.
+    static constexpr std::chrono::milliseconds linger_time{500};
 
     /// @brief Called for each line, without its line break. The handler may close the stream.
     using line_handler = std::function<void(std::string_view)>;
@@ -46,9 +51,14 @@
     /// @brief Sends the contents of the output buffer.
     void flush();
 
-    /// @brief Closes the stream once the output buffer has been sent.
+    /// @brief Closes the stream once the output buffer has been sent and the peer has closed its
+    /// side, or linger_time later. Lines that arrive meanwhile are discarded. To close a connection
+    /// with unread bytes resets it, and the peer would lose what it has not read.
     void close();
 
+    /// @return False once the stream has ended and all output has been sent or discarded.
+    [[nodiscard]] bool open() const noexcept { return !ended_; }
+
     /// @brief Closes the stream at once and discards unsent output.
     void abort();
 
@@ -57,6 +67,7 @@
     void read_available();
     [[nodiscard]] bool deliver_lines(std::string_view bytes);
     void wait_writable();
+    void linger();
     void close_and_report(stream_end reason);
 
     boost::asio::ip::tcp::socket socket_;
@@ -66,6 +77,7 @@
     std::string output_;
     bool writing_ = false;
     bool closing_ = false;
+    std::optional<boost::asio::steady_timer> linger_timer_;
     bool ended_ = false;
 };
 
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -4,6 +4,7 @@
 
 #include <lovagemoor/core/overloaded.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace lovagemoor::gateway {
@@ -113,10 +114,22 @@
         const std::shared_ptr<line_stream> stream = found->second.stream;
         callers_.erase(found);
         unflushed_.erase(action.session);
+        std::erase_if(closing_, [](const auto& closing) {
+            const std::shared_ptr<line_stream> known = closing.lock();
+            return known == nullptr || !known->open();
+        });
+        closing_.push_back(stream);
         stream->close();
     }
 }
 
+bool caller_listener::closing() const {
+    return std::any_of(closing_.begin(), closing_.end(), [](const auto& closing) {
+        const std::shared_ptr<line_stream> known = closing.lock();
+        return known != nullptr && known->open();
+    });
+}
+
 void caller_listener::flush() {
     for (const proxy::session_id session : std::exchange(unflushed_, {})) {
         const auto found = callers_.find(session);
--- a/packages/gateway/src/line_stream.cpp
+++ b/packages/gateway/src/line_stream.cpp
@@ -136,7 +136,7 @@
     if (!output_.empty()) {
         wait_writable();
     } else if (closing_) {
-        abort();
+        linger();
     } else if (output_.capacity() > internal::read_buffer_bytes) {
         output_.shrink_to_fit();
     }
@@ -164,8 +164,29 @@
     flush();
 }
 
+void line_stream::linger() {
+    if (linger_timer_.has_value()) {
+        return;
+    }
+    boost::system::error_code error;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, error);
+    if (error) {
+        abort();
+        return;
+    }
+    linger_timer_.emplace(socket_.get_executor(), linger_time);
+    linger_timer_->async_wait(
+        [weak = weak_from_this()](const boost::system::error_code& /*reason*/) {
+            const std::shared_ptr<line_stream> self = weak.lock();
+            if (self != nullptr && !self->ended_) {
+                self->abort();
+            }
+        });
+}
+
 void line_stream::abort() {
     ended_ = true;
+    linger_timer_.reset();
     boost::system::error_code ignored;
     socket_.close(ignored);
 }
@@ -175,7 +196,9 @@
         return;
     }
     abort();
-    on_end_(reason);
+    if (!closing_) {
+        on_end_(reason);
+    }
 }
 
 } // namespace lovagemoor::gateway
--- a/packages/gateway/test/line_stream_test.cpp
+++ b/packages/gateway/test/line_stream_test.cpp
@@ -86,4 +86,35 @@
     BOOST_TEST(received == "ERROR BUSY -\r\n");
 }
 
+// Guards against answers that a caller loses because the connection is reset: it had sent more that
+// this host did not read (review/5).
+BOOST_AUTO_TEST_CASE(close_does_not_reset_a_connection_with_unread_bytes) {
+    stream_pair pair;
+    pair.context.poll();
+    boost::asio::write(pair.peer, boost::asio::buffer(std::string{"QUERY 2 READ y\r\n"}));
+    pair.stream->output() += "ERROR BUSY -\r\n";
+    pair.stream->close();
+    std::string received;
+    boost::system::error_code error;
+    boost::asio::read(pair.peer, boost::asio::dynamic_buffer(received), error);
+    BOOST_TEST((error == boost::asio::error::eof));
+    BOOST_TEST(received == "ERROR BUSY -\r\n");
+    BOOST_TEST(pair.stream->open());
+    pair.peer.close();
+    pair.context.restart();
+    pair.context.run();
+    BOOST_TEST(!pair.stream->open());
+    BOOST_TEST(pair.lines.empty());
+    BOOST_TEST(!pair.ended.has_value());
+}
+
+// Guards against streams that stay open for ever because the peer does not close its side.
+BOOST_AUTO_TEST_CASE(a_closed_stream_ends_without_its_peer) {
+    stream_pair pair;
+    pair.stream->close();
+    pair.context.restart();
+    pair.context.run();
+    BOOST_TEST(!pair.stream->open());
+}
+
 } // namespace lovagemoor::gateway
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -123,6 +123,8 @@
     /// event has been processed, so that no request starts while another one is being ended.
     void resume_sessions();
     void process_backlog(session_id id);
+    /// @return True if the statement was answered because this host stops.
+    bool refuse_while_stopping(session& caller, const statement& work);
     bool answer_locally(session& caller, const statement& work);
     void begin_transaction(session& caller, const statement& work);
     void roll_back(session& caller);
@@ -251,6 +253,7 @@
     [[nodiscard]] std::vector<core::connection_id> excess_connections() const;
     void close_excess_connections();
     void advance_shutdown();
+    void refuse_unsent_requests();
     void advance_failovers();
     void update_promotion_following();
     void clear_reports();
@@ -287,6 +290,14 @@
 
     /// Divisor for the weight of a new sample in the moving averages of a service.
     static constexpr int service_weight = 8;
+    /// Divisor for the part of stop_grace during which new statements outside of transactions run.
+    /// By then, the load balancer routes new connections to other hosts.
+    static constexpr int statement_grace_divisor = 3;
+    /// Divisor for the part of stop_grace during which open transactions may continue.
+    static constexpr int transaction_grace_divisor = 2;
+    /// Divisor for the last part of stop_grace, in which statements that still wait for a target
+    /// are refused.
+    static constexpr int unsent_grace_divisor = 6;
 
     session_engine_settings settings_;
     core::id_source ids_;
--- a/packages/proxy/src/engine/session_engine_periodic.cpp
+++ b/packages/proxy/src/engine/session_engine_periodic.cpp
@@ -15,9 +15,6 @@
 /// Services without a statement for this long are not probed for new log positions.
 constexpr core::duration service_idle_after = std::chrono::seconds{10};
 
-/// Divisor for the part of stop_grace during which open transactions may continue.
-constexpr int transaction_grace_divisor = 2;
-
 } // namespace
 
 } // namespace internal
@@ -208,24 +205,37 @@
         return;
     }
     const core::duration since = now_ - *stopping_since_;
+    const core::duration statement_grace = settings_.stop_grace / statement_grace_divisor;
     std::vector<session_id> idle;
     for (auto& [id, caller] : sessions_) {
         caller.close_when_idle = true;
         const bool open_transaction = caller.state != session_state::idle;
         const bool may_close =
-            since > settings_.stop_grace / 3 && !caller.current.has_value() && !open_transaction;
+            since > statement_grace && !caller.current.has_value() && !open_transaction;
         const bool must_abort = open_transaction && !caller.current.has_value() &&
-                                since > settings_.stop_grace / internal::transaction_grace_divisor;
+                                since > settings_.stop_grace / transaction_grace_divisor;
         if (may_close || must_abort) {
             idle.push_back(id);
         }
     }
     close_sessions(idle);
-    if (sessions_.empty() && since > settings_.stop_grace / 3) {
+    if (since > settings_.stop_grace - settings_.stop_grace / unsent_grace_divisor) {
+        refuse_unsent_requests();
+    }
+    if (sessions_.empty() && since > statement_grace) {
         out_.emplace_back(stop_process{});
     }
 }
 
+void session_engine::refuse_unsent_requests() {
+    for (auto& [id, caller] : sessions_) {
+        if (caller.current.has_value() && caller.current->phase == request_phase::waiting) {
+            refuse(caller, {statement_error_kind::busy, "this host is stopping",
+                            std::chrono::milliseconds{0}});
+        }
+    }
+}
+
 void session_engine::forget_removed_hosts() {
     const std::size_t forgotten = std::erase_if(hosts_, [this](const auto& entry) {
         return entry.second.removed_at.has_value() &&
--- a/packages/proxy/src/engine/session_engine_sessions.cpp
+++ b/packages/proxy/src/engine/session_engine_sessions.cpp
@@ -48,8 +48,31 @@
         }
         const statement next = std::move(caller.backlog.front());
         caller.backlog.pop_front();
-        start_statement(caller, next);
+        if (!refuse_while_stopping(caller, next)) {
+            start_statement(caller, next);
+        }
+    }
+}
+
+bool session_engine::refuse_while_stopping(session& caller, const statement& work) {
+    if (!stopping_since_.has_value() || caller.state == session_state::failed_transaction ||
+        work.kind == statement_kind::rollback) {
+        return false;
+    }
+    const bool in_transaction = caller.state == session_state::in_transaction;
+    const int divisor = in_transaction ? transaction_grace_divisor : statement_grace_divisor;
+    if (now_ - *stopping_since_ <= settings_.stop_grace / divisor) {
+        return false;
+    }
+    if (in_transaction) {
+        detach_transaction(caller);
+        caller.state = session_state::failed_transaction;
     }
+    // Another host can serve the caller at once.
+    answer_error(caller,
+                 {in_transaction ? statement_error_kind::aborted : statement_error_kind::busy,
+                  "this host is stopping", std::chrono::milliseconds{0}});
+    return true;
 }
 
 void session_engine::start_statement(session& caller, const statement& work) {
@@ -201,7 +224,7 @@
 void session_engine::close_if_done(session& caller) {
     if (caller.close_when_idle && caller.state == session_state::idle &&
         !caller.current.has_value() && caller.backlog.empty()) {
-        out_.emplace_back(close_session{caller.id});
+        close_sessions({caller.id});
     }
 }
 
--- a/packages/proxy/test/engine/fake_cluster.hpp
+++ b/packages/proxy/test/engine/fake_cluster.hpp
@@ -162,7 +162,13 @@
         return session_databases_.at(id);
     }
 
-    /// @return Number of statements without an answer.
+    /// @return Number of statements of the session without an answer.
+    [[nodiscard]] std::size_t outstanding(session_id id) const {
+        const auto found = pending_.find(id);
+        return found == pending_.end() ? 0 : found->second.size();
+    }
+
+    /// @return Number of statements of all sessions without an answer.
     [[nodiscard]] std::size_t unanswered() const {
         std::size_t count = 0;
         for (const auto& [session, statements] : pending_) {
@@ -332,6 +338,8 @@
     std::set<core::target_id> unlisted;
     unsigned synchronous_replicas = 0;
     std::vector<host_record> hosts;
+    /// Called when a caller has received an answer.
+    std::function<void(session_id)> answered;
     /// The registry answers this host.
     bool registry_available = true;
 
@@ -687,6 +695,9 @@
         const std::string id = waiting.front();
         waiting.erase(waiting.begin());
         answers_[id] = {now_, given.result};
+        if (answered) {
+            after(delay(), [this, session = given.session] { answered(session); });
+        }
         const sent_statement& sent = statements_.at(id);
         const bool failed = given.result.error.has_value();
         if (!failed && !given.result.signature.empty() &&
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -600,6 +600,65 @@
     BOOST_TEST(!cluster.performed<stop_process>().empty());
 }
 
+namespace {
+
+struct stop_case {
+    const char* name;
+    std::size_t outstanding;
+    bool in_transaction;
+    bool without_primary;
+
+    friend std::ostream& operator<<(std::ostream& output, const stop_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<stop_case> stop_cases{
+    {"one statement outstanding", 1, false, false},
+    {"two statements outstanding", 2, false, false},
+    {"32 statements outstanding", 32, false, false},
+    {"two in a transaction", 2, true, false},
+    {"two that wait for a primary", 2, false, true},
+};
+
+} // namespace
+
+// Guards against a stop that goes on taking statements until the process is killed, which cuts
+// those that a target is running (review/5). The callers send a further statement for each answer.
+BOOST_DATA_TEST_CASE(a_stop_ends_in_time_while_callers_keep_statements_outstanding,
+                     boost::unit_test::data::make(stop_cases), sample) {
+    fake_cluster cluster = started();
+    std::vector<session_id> callers;
+    for (int index = 0; index < 4; ++index) {
+        callers.push_back(cluster.open("latest"));
+        if (sample.in_transaction) {
+            cluster.send(callers.back(), kind::begin);
+        }
+    }
+    cluster.run_for(50ms);
+    cluster.answered = [&](session_id caller) {
+        if (!cluster.is_closed(caller)) {
+            cluster.send(caller, kind::write, "x");
+        }
+    };
+    for (const session_id caller : callers) {
+        for (std::size_t sent = 0; sent < sample.outstanding; ++sent) {
+            cluster.send(caller, kind::write, "x");
+        }
+    }
+    cluster.run_for(1s);
+    cluster.apply(stop_requested{});
+    cluster.run_for(3s);
+    if (sample.without_primary) {
+        cluster.targets.at(t0).crashed = true;
+        cluster.disconnect(t0);
+    }
+    cluster.run_for(session_engine_settings{}.stop_grace - 3s);
+    BOOST_TEST(!cluster.performed<stop_process>().empty());
+    BOOST_TEST(cluster.unanswered() == 0U);
+    BOOST_TEST(cluster.violations().empty());
+}
+
 // Guards against a connection flood. A waiting request opened a further connection each time it was
 // dispatched again, and connects occupied the targets' slots (found on halgeld-pool-grown).
 BOOST_AUTO_TEST_CASE(a_waiting_request_opens_one_connection) {
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -56,6 +56,10 @@
 /// it is well below the tightest bound of the reference deployments (3 s for a configuration).
 constexpr std::chrono::milliseconds watch_check_interval{1500};
 
+/// The process ends this long before the end of its grace time at the latest, even if callers have
+/// not read all answers.
+constexpr std::chrono::milliseconds stop_margin{500};
+
 /// Interval at which the host checks whether a call to the registry is due.
 constexpr std::chrono::milliseconds registry_poll_interval{100};
 
@@ -165,6 +169,9 @@
         if (signal == SIGHUP) {
             reload();
         } else {
+            if (!stop_requested_at_.has_value()) {
+                stop_requested_at_ = internal::now();
+            }
             handle(proxy::stop_requested{});
         }
         wait_for_signals();
@@ -219,7 +226,7 @@
                    [this](const proxy::send_commands& value) { targets_.perform(value); },
                    [this](const proxy::close_target& value) { targets_.perform(value); },
                    [this](const proxy::set_ready& value) { ready_ = value.ready; },
-                   [this](const proxy::stop_process& /*value*/) { context_.stop(); },
+                   [this](const proxy::stop_process& /*value*/) { stop_when_sent(); },
                    [this](const core::log_event& value) { logger_.perform(value); },
                    [this](const core::count_metric& value) { metrics_.perform(value); },
                    [this](const core::observe_duration& value) { metrics_.perform(value); },
@@ -228,6 +235,16 @@
                action);
 }
 
+void session_host::stop_when_sent() {
+    // The engine asks again with each timer event.
+    const bool in_time =
+        stop_requested_at_.has_value() &&
+        internal::now() - *stop_requested_at_ < settings_.stop_grace - internal::stop_margin;
+    if (!in_time || !callers_.closing()) {
+        context_.stop();
+    }
+}
+
 void session_host::perform(const proxy::promote_target& action) {
     if (promotion_client_.has_value()) {
         promotion_client_->promote(
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -45,6 +45,8 @@
     void perform(const proxy::publish_suspicion& action);
     void perform(const proxy::withdraw_suspicion& action);
     void dispatch(const proxy::action& action);
+    /// @brief Ends the process once all answers have been sent and closed sessions have ended.
+    void stop_when_sent();
     void schedule_timer();
     void wait_for_signals();
     void reload();
@@ -98,6 +100,7 @@
     boost::asio::steady_timer registry_timer_;
     boost::asio::signal_set signals_;
     bool ready_ = false;
+    std::optional<core::time_point> stop_requested_at_;
     /// When the pending claim of the promotion lock was sent; empty if no claim is pending.
     std::optional<core::time_point> lock_claim_sent_at_;
     /// Duration of the lease that the pending claim asks for.
