--- a/packages/gateway/include/lovagemoor/gateway/line_stream.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/line_stream.hpp
@@ -22,8 +22,8 @@
     too_large,
 };
 
-/// @brief A TCP connection that carries lines of text. Not thread-safe: use it only on the thread
-/// of its io_context.
+/// @brief A TCP connection that carries lines of text, which end with CR LF. Not thread-safe: use
+/// it only on the thread of its io_context.
 class line_stream : public std::enable_shared_from_this<line_stream> {
 public:
     /// Limit on the length of a line including its line break: the statement protocol's limit on a
@@ -66,6 +66,9 @@
     void wait_readable();
     void read_available();
     [[nodiscard]] bool deliver_lines(std::string_view bytes);
+    /// @return Index of the line feed that ends the current line, or npos. A line feed without a
+    /// carriage return before it is part of a field.
+    [[nodiscard]] std::size_t find_line_end(std::string_view bytes) const;
     void wait_writable();
     void linger();
     void close_and_report(stream_end reason);
--- a/packages/gateway/src/line_stream.cpp
+++ b/packages/gateway/src/line_stream.cpp
@@ -81,15 +81,30 @@
     wait_readable();
 }
 
+std::size_t line_stream::find_line_end(std::string_view bytes) const {
+    std::size_t line_feed = bytes.find('\n');
+    while (line_feed != std::string_view::npos) {
+        const bool at_start = line_feed == 0;
+        const char before = !at_start          ? bytes[line_feed - 1]
+                            : partial_.empty() ? '\0'
+                                               : partial_.back();
+        if (before == '\r') {
+            return line_feed;
+        }
+        line_feed = bytes.find('\n', line_feed + 1);
+    }
+    return std::string_view::npos;
+}
+
 bool line_stream::deliver_lines(std::string_view bytes) {
     while (!bytes.empty() && !ended_ && !closing_) {
-        const std::size_t line_end = bytes.find('\n');
-        if (line_end == std::string_view::npos) {
+        const std::size_t line_feed = find_line_end(bytes);
+        if (line_feed == std::string_view::npos) {
             partial_ += bytes;
             break;
         }
-        std::string_view line = bytes.substr(0, line_end);
-        bytes.remove_prefix(line_end + 1);
+        std::string_view line = bytes.substr(0, line_feed);
+        bytes.remove_prefix(line_feed + 1);
         std::string joined;
         if (!partial_.empty()) {
             joined = std::exchange(partial_, {});
@@ -100,9 +115,7 @@
             close_and_report(stream_end::too_large);
             return false;
         }
-        if (!line.empty() && line.back() == '\r') {
-            line.remove_suffix(1);
-        }
+        line.remove_suffix(1);
         on_line_(line);
     }
     if (partial_.size() > max_line_bytes) {
--- a/packages/gateway/test/line_stream_test.cpp
+++ b/packages/gateway/test/line_stream_test.cpp
@@ -4,11 +4,16 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lovagemoor::gateway {
@@ -60,6 +65,40 @@
     BOOST_TEST((pair.ended == stream_end::closed));
 }
 
+// Guards against statements inside the data of another one: a line feed alone ended a line
+// (UNASKED, found by the review). Lines end with CR LF only, whatever bytes they contain and
+// wherever packets are split.
+BOOST_DATA_TEST_CASE(lines_end_with_cr_lf_only, boost::unit_test::data::xrange(1U, 101U), seed) {
+    std::mt19937 random{seed};
+    const auto draw = [&random](unsigned below) {
+        return std::uniform_int_distribution<unsigned>{0, below - 1}(random);
+    };
+    constexpr std::string_view likely{"\r\n\0 Q", 5};
+    std::string sent;
+    for (unsigned index = 0; index < 400; ++index) {
+        sent += draw(3) > 0 ? likely[draw(5)] : static_cast<char>(draw(256));
+    }
+    sent += "\r\n";
+    std::vector<std::string> expected;
+    for (std::size_t start = 0; start < sent.size();) {
+        const std::size_t end = sent.find("\r\n", start);
+        expected.push_back(sent.substr(start, end - start));
+        start = end + 2;
+    }
+    stream_pair pair;
+    for (std::size_t start = 0; start < sent.size();) {
+        const std::size_t size = std::min<std::size_t>(1 + draw(40), sent.size() - start);
+        boost::asio::write(pair.peer, boost::asio::buffer(sent.data() + start, size));
+        start += size;
+        pair.context.restart();
+        pair.context.poll();
+    }
+    pair.peer.close();
+    pair.context.restart();
+    pair.context.run();
+    BOOST_TEST((pair.lines == expected));
+}
+
 // Guards against unbounded memory use by a line that never ends.
 BOOST_AUTO_TEST_CASE(an_endless_line_ends_the_stream) {
     stream_pair pair;
