Accept an answer of a target only if it fits its command

Cause: a check of leadership is a BEGIN with a ROLLBACK behind it. If the answer to the BEGIN was lost on an open connection, the answer to the ROLLBACK was taken for it: any database passes that, its position became a bound for other reads, and the read was sent to it without a condition.

Change: an answer must fit its command, by the state of the connection and the absence of a signature; otherwise the connection is closed. Log lines of requests say which position a read required, where it came from and when the target's process started, so that such a trace can be told apart next time.

--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -156,8 +156,9 @@
     [[nodiscard]] std::optional<core::target_id> choose_replica(session& caller);
     /// @return nullptr if no known target is the primary.
     [[nodiscard]] target_state* primary_of(const service_state& service);
-    [[nodiscard]] std::optional<replication_position>
-    required_position(const session& caller) const;
+    [[nodiscard]] std::optional<read_requirement> requirement_of(const session& caller) const;
+    /// @return The position of requirement_of(), which is recorded for the log.
+    [[nodiscard]] std::optional<replication_position> required_position(session& caller) const;
     /// @return Newest log position of the service that the session has written or been shown.
     [[nodiscard]] static std::optional<replication_position>
     seen_position(const session& caller, const core::service_id& service);
--- a/packages/proxy/include/lovagemoor/proxy/routing/primary_checks.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/routing/primary_checks.hpp
@@ -23,6 +23,14 @@
     /// @param sent Time at which the check was sent, not when it was answered.
     void record(core::time_point sent, replication_position position);
 
+    struct check {
+        core::time_point sent;
+        replication_position position;
+    };
+
+    /// @brief Finds the check that bound() uses.
+    [[nodiscard]] std::optional<check> find(core::time_point acknowledged_before) const;
+
     /// @brief Finds the earliest known position that includes every commit acknowledged before a
     /// given time.
     /// @return Empty if no check was sent at or after that time.
@@ -33,11 +41,6 @@
     [[nodiscard]] std::optional<core::time_point> newest() const;
 
 private:
-    struct check {
-        core::time_point sent;
-        replication_position position;
-    };
-
     /// Sorted by time.
     std::deque<check> checks_;
 };
--- a/packages/proxy/include/lovagemoor/proxy/session/session.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/session/session.hpp
@@ -54,6 +54,16 @@
 /// @brief The resource for which a request waits.
 enum class wait_reason : std::uint8_t { none, primary, connection };
 
+/// @brief The log position that a read requires of a target.
+struct read_requirement {
+    replication_position position;
+    /// The position is one that the session has written or been shown. Otherwise a check of the
+    /// primary returned it.
+    bool seen_by_session = false;
+    /// Time at which that check was sent.
+    core::time_point checked_at;
+};
+
 /// @brief The statement of a session that is being processed.
 struct request {
     proxy::statement work;
@@ -73,6 +83,8 @@
     /// The statement must run on the primary; a read outside of a transaction is preceded by a
     /// leadership check.
     bool check_leadership = false;
+    /// What the read required when it was sent. Empty for statements that run on the primary.
+    std::optional<read_requirement> required;
 };
 
 /// @brief A caller's connection.
--- a/packages/proxy/src/engine/session_engine_replies.cpp
+++ b/packages/proxy/src/engine/session_engine_replies.cpp
@@ -12,6 +12,26 @@
 /// Divisor for the weight of a new sample in the moving average of a target's latency.
 constexpr int latency_weight = 8;
 
+/// @return False if a successful reply cannot be the one to a command of the role: an answer was
+/// lost, and this one belongs to a later command.
+bool may_answer(reply_role role, const statement_result& result) noexcept {
+    if (result.error.has_value() || role == reply_role::caller_statement) {
+        return true;
+    }
+    const bool in_transaction = result.state == session_state::in_transaction;
+    switch (role) {
+    case reply_role::leadership_check:
+    case reply_role::probe:
+    case reply_role::transaction_begin:
+        return in_transaction && result.signature.empty();
+    case reply_role::check_end:
+    case reply_role::release:
+        return !in_transaction && result.signature.empty();
+    default:
+        return result.signature.empty();
+    }
+}
+
 const char* to_string(target_close_reason reason) noexcept {
     switch (reason) {
     case target_close_reason::refused:
@@ -71,6 +91,12 @@
     on_target_contact(connection->target);
     record_answer(connection->target, expected.sent);
     const statement_result& result = input.reply.result;
+    if (!internal::may_answer(expected.role, result)) {
+        log(core::log_event::level::warning, "mismatched_reply",
+            {{"target", connection->target.value}});
+        drop_connection(input.connection);
+        return;
+    }
     const auto user = sessions_.find(connection->user);
     session* const caller = user != sessions_.end() && user->second.current.has_value() &&
                                     user->second.current->connection == connection->id
@@ -95,7 +121,7 @@
         }
         break;
     case reply_role::preparation:
-        if (result.error.has_value() || !result.signature.empty()) {
+        if (result.error.has_value()) {
             log(core::log_event::level::warning, "preparation_failed",
                 {{"target", connection->target.value}});
             drop_connection(input.connection);
--- a/packages/proxy/src/engine/session_engine_requests.cpp
+++ b/packages/proxy/src/engine/session_engine_requests.cpp
@@ -34,6 +34,10 @@
     }
 }
 
+std::string position_text(const replication_position& position) {
+    return std::to_string(position.term) + '.' + std::to_string(position.index);
+}
+
 /// @return Name under which all sessions share a prepared statement on a connection.
 std::string shared_name(const prepared_statement& prepared) {
     return (prepared.read_only ? "r_" : "w_") + prepared.shape;
@@ -198,8 +202,9 @@
     request& work = *caller.current;
     service_state& service = services_[work.via->service];
     work.check_leadership = needs_primary(caller);
+    work.required.reset();
     if (!work.check_leadership) {
-        if (required_position(caller).has_value()) {
+        if (requirement_of(caller).has_value()) {
             std::optional<core::target_id> chosen = choose_replica(caller);
             if (chosen.has_value()) {
                 return chosen;
@@ -228,7 +233,14 @@
     return primary.has_value() ? pool_.find(*primary) : nullptr;
 }
 
-std::optional<replication_position> session_engine::required_position(const session& caller) const {
+std::optional<replication_position> session_engine::required_position(session& caller) const {
+    std::optional<read_requirement>& required = caller.current->required;
+    required = requirement_of(caller);
+    return required.has_value() ? std::optional<replication_position>{required->position}
+                                : std::nullopt;
+}
+
+std::optional<read_requirement> session_engine::requirement_of(const session& caller) const {
     const request& work = *caller.current;
     const auto service = services_.find(work.via->service);
     if (service == services_.end()) {
@@ -236,10 +248,16 @@
     }
     const core::time_point arrived =
         caller.transaction.has_value() ? caller.transaction->began : work.received;
-    std::optional<replication_position> bound =
-        service->second.checks.bound(arrived - work.via->max_staleness);
+    const std::optional<primary_checks::check> bound =
+        service->second.checks.find(arrived - work.via->max_staleness);
+    if (!bound.has_value()) {
+        return std::nullopt;
+    }
     const std::optional<replication_position> seen = seen_position(caller, work.via->service);
-    return bound.has_value() ? std::max(bound, seen) : std::nullopt;
+    if (seen.has_value() && *seen > bound->position) {
+        return read_requirement{*seen, true, bound->sent};
+    }
+    return read_requirement{bound->position, false, bound->sent};
 }
 
 std::optional<replication_position> session_engine::seen_position(const session& caller,
@@ -565,6 +583,14 @@
     const std::optional<core::time_point> check = service.checks.newest();
     const bool sent = work.phase == request_phase::running;
     const target_connection* const connection = pool_.find(work.connection);
+    const target_state* const target =
+        connection != nullptr ? pool_.find(connection->target) : nullptr;
+    const std::string started =
+        target != nullptr ? std::to_string(target->record.started_ms) : "none";
+    const std::string required = work.check_leadership ? "primary"
+                                 : work.required.has_value()
+                                     ? internal::position_text(work.required->position)
+                                     : "none";
     log(core::log_event::level::info, name,
         {{"id", work.work.id},
          {"session", std::to_string(caller.id)},
@@ -577,6 +603,13 @@
          {"age_ms", milliseconds(now_ - work.received)},
          {"at_target_ms", sent ? milliseconds(now_ - work.sent) : "0"},
          {"check_age_ms", check.has_value() ? milliseconds(now_ - *check) : "none"},
+         {"required", required},
+         {"required_by", !work.required.has_value()       ? "none"
+                         : work.required->seen_by_session ? "session"
+                                                          : "check"},
+         {"required_check_age_ms",
+          work.required.has_value() ? milliseconds(now_ - work.required->checked_at) : "none"},
+         {"target_started_ms", started},
          {"configuration",
           std::to_string(configuration_.has_value() ? configuration_->version : -1)}});
 }
--- a/packages/proxy/src/routing/primary_checks.cpp
+++ b/packages/proxy/src/routing/primary_checks.cpp
@@ -19,13 +19,18 @@
     }
 }
 
-std::optional<replication_position>
-primary_checks::bound(core::time_point acknowledged_before) const {
+std::optional<primary_checks::check>
+primary_checks::find(core::time_point acknowledged_before) const {
     const auto first = std::lower_bound(
         checks_.begin(), checks_.end(), acknowledged_before,
         [](const check& entry, core::time_point time) { return entry.sent < time; });
-    return first == checks_.end() ? std::nullopt
-                                  : std::optional<replication_position>{first->position};
+    return first == checks_.end() ? std::nullopt : std::optional<check>{*first};
+}
+
+std::optional<replication_position>
+primary_checks::bound(core::time_point acknowledged_before) const {
+    const std::optional<check> found = find(acknowledged_before);
+    return found.has_value() ? std::optional<replication_position>{found->position} : std::nullopt;
 }
 
 std::optional<core::time_point> primary_checks::newest() const {
--- a/packages/proxy/test/engine/fake_cluster.hpp
+++ b/packages/proxy/test/engine/fake_cluster.hpp
@@ -48,6 +48,8 @@
         bool busy = false;
         /// Number of further statements that run but whose answers are lost.
         unsigned lost_answers = 0;
+        /// Number of further answers to the beginning of a transaction that are lost.
+        unsigned lost_begin_answers = 0;
     };
 
     struct received_answer {
@@ -505,6 +507,10 @@
             --at.lost_answers;
             return;
         }
+        if (command.kind == command_kind::begin && at.lost_begin_answers > 0) {
+            --at.lost_begin_answers;
+            return;
+        }
         core::time_point& last = last_reply_[id];
         last = std::max(last, now_ + delay());
         scheduled_.push({last, ++order_, [this, id, reply] {
@@ -539,6 +545,7 @@
             break;
         case command_kind::rollback:
             connection.transaction.reset();
+            connection.writable = false;
             connection.uncommitted.clear();
             break;
         case command_kind::set_value:
--- a/packages/proxy/test/engine/random_faults_test.cpp
+++ b/packages/proxy/test/engine/random_faults_test.cpp
@@ -94,7 +94,7 @@
     void fault() {
         const core::target_id id{"t" + std::to_string(draw(3))};
         fake_cluster::target& target = cluster_.targets.at(id);
-        switch (draw(6)) {
+        switch (draw(7)) {
         case 0:
             cluster_.disconnect(id);
             break;
@@ -110,6 +110,9 @@
         case 4:
             target.busy = !target.busy;
             break;
+        case 5:
+            target.lost_begin_answers = static_cast<unsigned>(draw(3));
+            break;
         default:
             cluster_.promote(id);
             break;
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -198,6 +198,27 @@
     BOOST_TEST(cluster.ran_at(write).size() == 1U);
 }
 
+// Guards against stale reads at a former primary: the answer to the check of its leadership was
+// lost, and the answer to the command that ends the check was taken for it.
+BOOST_AUTO_TEST_CASE(a_lost_answer_to_a_check_does_not_prove_leadership) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::read, "x");
+    cluster.run_for(100ms);
+    for (auto& [id, target] : cluster.targets) {
+        target.lag = 60s;
+    }
+    // This host does not hear of the promotion.
+    cluster.promote(t1, core::target_id{"none"});
+    cluster.write_elsewhere();
+    cluster.run_for(10ms);
+    cluster.targets.at(t0).lost_begin_answers = 100;
+    const std::string read = cluster.send(caller, kind::read, "x");
+    cluster.run_for(1500ms);
+    BOOST_TEST(cluster.answer(read).has_value());
+    BOOST_TEST(cluster.violations().empty());
+}
+
 // Guards against failing a read whose answer was lost: it can run at another target.
 BOOST_AUTO_TEST_CASE(a_read_with_a_lost_connection_runs_at_another_target) {
     fake_cluster cluster = started();
