Release paused replicas when a failover is given up

With synchronous replicas a primary that recovered during a failover could acknowledge no commit until the next promotion (noticed by the review, shown here for the coordinator).

Cause: a failover pauses replication into the replicas before it reads their positions; nothing told them to receive again.

Change: a failover that ends without a promotion marks the service, and the holder of the promotion lock tells its targets to receive again, five times 0.6 s apart.

--- a/packages/proxy/include/lovagemoor/proxy/promotion/failover_coordinator.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/promotion/failover_coordinator.hpp
@@ -74,6 +74,9 @@
     std::chrono::milliseconds inspection_limit{600};
     /// Delay before a promotion call without an answer is repeated.
     std::chrono::milliseconds call_retry{700};
+    /// Number of times that paused replicas are told to receive again, at intervals of
+    /// inspection_limit. More than one, as a replica may be out of reach.
+    unsigned release_attempts = 5;
     /// Time within which the promoted target must become the primary before the failover restarts.
     std::chrono::milliseconds takeover_limit{2500};
 };
@@ -88,6 +91,12 @@
     std::vector<core::target_id> awaited;
 };
 
+/// @brief Lets the replicas of a service receive again after a failover that held replication was
+/// given up. Otherwise the primary could acknowledge no commit.
+struct release_replicas {
+    core::service_id service;
+};
+
 /// @brief Makes the former primary a replica, if this host reaches it. A primary may otherwise
 /// continue to accept writes after another target was promoted.
 struct demote_primary {
@@ -110,8 +119,8 @@
     std::chrono::milliseconds duration{0};
 };
 
-using failover_step = std::variant<request_promotion_lock, inspect_replicas, demote_primary,
-                                   announce_demotion, call_promotion>;
+using failover_step = std::variant<request_promotion_lock, inspect_replicas, release_replicas,
+                                   demote_primary, announce_demotion, call_promotion>;
 
 /// @}
 
@@ -191,10 +200,23 @@
         std::set<core::target_id> rejected;
         core::target_id chosen;
         core::time_point called_at;
+        bool holds_replication = false;
+    };
+
+    /// A service whose replicas were paused by a failover that promoted none of them.
+    struct held_service {
+        /// Number of times that the replicas were told to receive again.
+        unsigned releases = 0;
+        core::time_point next_release;
     };
 
     void start(core::time_point now, const failover_input& input,
                std::vector<failover_step>& steps);
+    void request_lock(core::time_point now, std::vector<failover_step>& steps);
+    void release(core::time_point now, const core::service_id& service,
+                 std::vector<failover_step>& steps);
+    /// @brief Ends an attempt that promoted no target.
+    void give_up(const core::service_id& service);
     void advance_attempt(core::time_point now, const failover_input& input, attempt& current,
                          std::vector<failover_step>& steps);
     void advance_inspection(core::time_point now, const failover_input& input, attempt& current,
@@ -229,6 +251,7 @@
     core::time_point lock_taken_until_;
     core::time_point next_lock_request_;
     std::map<core::service_id, attempt> attempts_;
+    std::map<core::service_id, held_service> held_;
 };
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/include/lovagemoor/proxy/target/target_command.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/target/target_command.hpp
@@ -27,6 +27,8 @@
     status,
     /// Pauses replication into a replica until it is promoted or released.
     hold_replication,
+    /// Lets a replica receive again whose replication was paused.
+    resume_replication,
     /// Makes a primary of a lower term a replica.
     step_down,
     /// @}
--- a/packages/proxy/src/engine/session_engine_promotion.cpp
+++ b/packages/proxy/src/engine/session_engine_promotion.cpp
@@ -218,6 +218,20 @@
                     }
                     send_pending_inspections();
                 },
+                [this](const release_replicas& request) {
+                    log(core::log_event::level::warning, "replication_released",
+                        {{"service", request.service.value}});
+                    for (const target_state* const target : pool_.of_service(request.service)) {
+                        const core::target_id& id = target->record.id;
+                        std::erase_if(pending_inspections_,
+                                      [&id](const pending_inspection& pending) {
+                                          return pending.target == id &&
+                                                 pending.kind == command_kind::hold_replication;
+                                      });
+                        inspect_target(id, command_kind::resume_replication, 0);
+                    }
+                    send_pending_inspections();
+                },
                 [this](const demote_primary& request) {
                     inspect_target(request.demotion.target, command_kind::step_down,
                                    request.demotion.term);
--- a/packages/proxy/src/promotion/failover_coordinator.cpp
+++ b/packages/proxy/src/promotion/failover_coordinator.cpp
@@ -15,6 +15,8 @@
             advance_attempt(now, input, found->second, steps);
         } else if (input.cause != promotion_cause::none && !input.replicas.empty()) {
             start(now, input, steps);
+        } else if (held_.contains(input.service)) {
+            release(now, input.service, steps);
         }
     }
     return steps;
@@ -31,15 +33,10 @@
 void failover_coordinator::start(core::time_point now, const failover_input& input,
                                  std::vector<failover_step>& steps) {
     if (!holds_promotion_lock(now)) {
-        if (!lock_requested_ && now >= next_lock_request_ && now >= lock_taken_until_) {
-            lock_requested_ = true;
-            next_lock_request_ = now + 2 * settings_.lock_duration;
-            steps.emplace_back(request_promotion_lock{settings_.lock_duration});
-        } else if (lock_requested_ && now >= next_lock_request_) {
-            lock_requested_ = false;
-        }
+        request_lock(now, steps);
         return;
     }
+    held_.erase(input.service);
     attempt& current = attempts_[input.service];
     current.started_at = now;
     current.cause = input.cause;
@@ -48,10 +45,46 @@
     inspect(now, input, current, steps);
 }
 
+void failover_coordinator::request_lock(core::time_point now, std::vector<failover_step>& steps) {
+    if (!lock_requested_ && now >= next_lock_request_ && now >= lock_taken_until_) {
+        lock_requested_ = true;
+        next_lock_request_ = now + 2 * settings_.lock_duration;
+        steps.emplace_back(request_promotion_lock{settings_.lock_duration});
+    } else if (lock_requested_ && now >= next_lock_request_) {
+        lock_requested_ = false;
+    }
+}
+
+void failover_coordinator::release(core::time_point now, const core::service_id& service,
+                                   std::vector<failover_step>& steps) {
+    // Another host that holds the lock may rely on paused replicas.
+    if (!holds_promotion_lock(now)) {
+        request_lock(now, steps);
+        return;
+    }
+    held_service& held = held_.at(service);
+    if (now < held.next_release) {
+        return;
+    }
+    held.next_release = now + settings_.inspection_limit;
+    steps.emplace_back(release_replicas{service});
+    if (++held.releases >= settings_.release_attempts) {
+        held_.erase(service);
+    }
+}
+
+void failover_coordinator::give_up(const core::service_id& service) {
+    if (attempts_.at(service).holds_replication) {
+        held_[service] = {};
+    }
+    attempts_.erase(service);
+}
+
 void failover_coordinator::inspect(core::time_point now, const failover_input& input,
                                    attempt& current, std::vector<failover_step>& steps) const {
     current.inspected_at = now;
     const core::term_number hold = input.synchronous_replicas > 0 ? current.demotion_term : 0;
+    current.holds_replication = current.holds_replication || hold > 0;
     steps.emplace_back(inspect_replicas{input.service, hold, {}});
 }
 
@@ -131,7 +164,7 @@
 void failover_coordinator::advance_attempt(core::time_point now, const failover_input& input,
                                            attempt& current, std::vector<failover_step>& steps) {
     if (!holds_promotion_lock(now)) {
-        attempts_.erase(input.service);
+        give_up(input.service);
         return;
     }
     switch (current.current_stage) {
@@ -149,7 +182,7 @@
         return;
     case stage::taking_over:
         if (now - current.called_at >= settings_.takeover_limit) {
-            attempts_.erase(input.service);
+            give_up(input.service);
         }
         return;
     }
@@ -159,7 +192,7 @@
                                               attempt& current, std::vector<failover_step>& steps) {
     if (input.cause == promotion_cause::none ||
         (current.positions.empty() && now - current.started_at > settings_.inspection_limit)) {
-        attempts_.erase(input.service);
+        give_up(input.service);
         return;
     }
     // The primary is only demoted once there is a target that can replace it.
@@ -172,7 +205,7 @@
     }
     if (current.leading_term > 0 && current.leading_term >= current.newest_term) {
         // The service has a newer primary that this host did not know.
-        attempts_.erase(input.service);
+        give_up(input.service);
         return;
     }
     current.current_stage = stage::demoting;
@@ -194,7 +227,7 @@
             // rejected.
             fencing_token_.reset();
         }
-        attempts_.erase(input.service);
+        give_up(input.service);
         return;
     }
     const primary_demotion demotion{input.service, current.former_primary, current.demotion_term};
--- a/packages/proxy/test/engine/fake_cluster.hpp
+++ b/packages/proxy/test/engine/fake_cluster.hpp
@@ -561,6 +561,7 @@
             break;
         case command_kind::status:
         case command_kind::hold_replication:
+        case command_kind::resume_replication:
             reply.status = status_of(at);
             break;
         case command_kind::step_down:
--- a/packages/proxy/test/promotion/failover_coordinator_test.cpp
+++ b/packages/proxy/test/promotion/failover_coordinator_test.cpp
@@ -315,6 +315,55 @@
     BOOST_TEST((again->awaited == std::vector<core::target_id>{b}));
 }
 
+namespace {
+
+struct release_case {
+    const char* name;
+    unsigned synchronous_replicas;
+    /// Time at which the primary has recovered.
+    core::duration recovered_after;
+    std::size_t releases;
+
+    friend std::ostream& operator<<(std::ostream& output, const release_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<release_case> release_cases{
+    {"nothing was held", 0, 10ms, 0},
+    {"the failover is given up", 1, 10ms, 5},
+    {"the lock has expired meanwhile", 1, 3s, 5},
+};
+
+} // namespace
+
+// Guards against a primary that can acknowledge no commit: replicas that a failover had paused
+// were never told to receive again when it was given up.
+BOOST_DATA_TEST_CASE(held_replicas_are_released_when_a_failover_is_given_up,
+                     boost::unit_test::data::make(release_cases), sample) {
+    const failover_input input = lost(sample.synchronous_replicas);
+    failover_input recovered = input;
+    recovered.cause = promotion_cause::none;
+    failover_coordinator made = inspecting(input);
+    std::size_t releases = 0;
+    for (core::duration elapsed = 10ms; elapsed <= 12s; elapsed += 10ms) {
+        const bool lost = elapsed < sample.recovered_after;
+        for (const failover_step& step :
+             made.advance(start + elapsed, {lost ? input : recovered})) {
+            if (std::holds_alternative<request_promotion_lock>(step)) {
+                made.on_promotion_lock_answered(start + elapsed,
+                                                {promotion_lock_result::acquired, 10, 3000ms});
+            }
+            if (std::holds_alternative<release_replicas>(step)) {
+                BOOST_TEST(!lost);
+                BOOST_TEST(made.holds_promotion_lock(start + elapsed));
+                ++releases;
+            }
+        }
+    }
+    BOOST_TEST(releases == sample.releases);
+}
+
 // Guards against calls under an expired lock, for example after a suspension of the machine.
 BOOST_AUTO_TEST_CASE(no_call_after_the_lock_has_expired) {
     failover_coordinator made = inspecting(lost());
