--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -175,7 +175,7 @@
     }
     const std::string write = cluster.send(caller, kind::write, "x");
     cluster.run_for(50ms);
-    BOOST_REQUIRE(error_of(cluster, write) == "");
+    BOOST_REQUIRE(error_of(cluster, write).empty());
     sample.happens(cluster, caller);
     const std::string read = cluster.send(caller, kind::read, "x");
     cluster.run_for(300ms);
