Check pending watches every 2.4 s

Change: an interval of 2.4 s. A lost answer is then noticed within 2.4 s and the time of one call, below the 4 s after which all rules hold again after an outage.

--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -54,7 +54,7 @@
 
 /// Interval at which a pending watch is checked for a lost answer. With the time limit of the call
 /// it is well below the tightest bound of the reference deployments (3 s for a configuration).
-constexpr std::chrono::milliseconds watch_check_interval{1500};
+constexpr std::chrono::milliseconds watch_check_interval{2400};
 
 /// The process ends this long before the end of its grace time at the latest, even if callers have
 /// not read all answers.
