--- a/packages/proxy/src/engine/session_engine_replies.cpp
+++ b/packages/proxy/src/engine/session_engine_replies.cpp
@@ -123,7 +123,11 @@
     case reply_role::preparation:
         if (result.error.has_value()) {
             log(core::log_event::level::warning, "preparation_failed",
-                {{"target", connection->target.value}});
+                {{"target", connection->target.value},
+                 {"connection", std::to_string(connection->id)},
+                 {"session", std::to_string(connection->user)},
+                 {"error", to_string(result.error->kind)},
+                 {"reason", result.error->text}});
             drop_connection(input.connection);
             return;
         }
--- a/packages/proxy/src/engine/session_engine_requests.cpp
+++ b/packages/proxy/src/engine/session_engine_requests.cpp
@@ -20,6 +20,9 @@
     return target_command{kind, {}, std::move(name), std::move(argument), std::nullopt, 0};
 }
 
+/// Longest part of a caller's text in a log line.
+constexpr std::size_t max_logged_bytes = 80;
+
 /// @return Name of the log event for a request that this host answers with an error.
 const char* log_event_of(statement_error_kind kind) {
     switch (kind) {
@@ -479,6 +482,15 @@
         const prepared_statement& prepared = caller.prepared.at(work.name);
         const std::string name = internal::shared_name(prepared);
         if (connection.prepared.insert(name).second) {
+            log(core::log_event::level::debug, "statement_prepared",
+                {{"connection", std::to_string(connection.id)},
+                 {"target", connection.target.value},
+                 {"session", std::to_string(caller.id)},
+                 {"id", work.id},
+                 {"name", name.substr(0, internal::max_logged_bytes)},
+                 {"access", prepared.read_only ? "read" : "write"},
+                 {"shape", prepared.shape.substr(0, internal::max_logged_bytes)},
+                 {"shape_bytes", std::to_string(prepared.shape.size())}});
             commands.push_back(internal::command(prepared.read_only ? command_kind::prepare_read
                                                                     : command_kind::prepare_write,
                                                  name, prepared.shape));
