--- a/packages/proxy/src/engine/session_engine_sessions.cpp
+++ b/packages/proxy/src/engine/session_engine_sessions.cpp
@@ -142,7 +142,7 @@
         }
         return false;
     case statement_kind::unknown:
-        answer_error(caller, {statement_error_kind::malformed, "unknown statement", std::nullopt});
+        answer_error(caller, {statement_error_kind::malformed, "unknown or incomplete statement", std::nullopt});
         return true;
     default:
         return false;
