Refuse statements that exceed the limit on a message once they are relayed

Callers saw: nothing yet; by a test. A READ, PREPARE or EXECUTE just below 1 MiB grows by a required position or by the host's name for a prepared statement, and the target closes the connection at the oversized line, with the other sessions' preparations on it.

--- a/packages/proxy/include/lovagemoor/proxy/session/statement.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/session/statement.hpp
@@ -17,6 +17,9 @@
     /// Runs a prepared statement.
     execute,
     deallocate,
+    /// A statement that would exceed the protocol's limit on a message once this host has added to
+    /// it what a target needs.
+    too_large,
     /// Any other text.
     unknown,
 };
--- a/packages/proxy/src/engine/session_engine_sessions.cpp
+++ b/packages/proxy/src/engine/session_engine_sessions.cpp
@@ -141,6 +141,10 @@
             return true;
         }
         return false;
+    case statement_kind::too_large:
+        answer_error(caller, {statement_error_kind::too_large,
+                              "the statement is too large to be sent to a target", std::nullopt});
+        return true;
     case statement_kind::unknown:
         answer_error(caller, {statement_error_kind::malformed, "unknown or incomplete statement", std::nullopt});
         return true;
