Prepare a statement again when a target dropped it within a transaction

Callers saw: nothing yet; by a test. A database that has dropped the names of a connection answers NOPREPARED. Within a transaction the host passed that on to its caller, whose PREPARE it had acknowledged (PINNED), and went on using names that the database no longer knew. Change: nothing has run, so the statement is prepared again and sent once more on the same connection while the transaction is open. If the answer failed the transaction, a first statement begins again, and a later one is answered ABORTED, which is true. Outside of transactions the caller gets BUSY after the last attempt instead of NOPREPARED.

--- a/packages/proxy/src/engine/session_engine_replies.cpp
+++ b/packages/proxy/src/engine/session_engine_replies.cpp
@@ -300,7 +300,13 @@
                                 kind == statement_error_kind::not_prepared ||
                                 (kind == statement_error_kind::failed && !work.writes);
         if (repeatable) {
-            retry_or_refuse(caller, connection.target, *result.error);
+            // The caller has prepared the statement, so it must not be told otherwise.
+            const statement_error error =
+                kind == statement_error_kind::not_prepared
+                    ? statement_error{statement_error_kind::busy,
+                                      "the target dropped a prepared statement", std::nullopt}
+                    : *result.error;
+            retry_or_refuse(caller, connection.target, error);
             return;
         }
     } else if (work.writes && superseded(connection.target, result)) {
@@ -321,9 +327,21 @@
                                            const statement_result& result) {
     request& work = *caller.current;
     if (result.error.has_value()) {
-        const statement_error error = *result.error;
+        statement_error error = *result.error;
         const core::target_id target = connection.target;
         const bool first = caller.transaction->answered == 0;
+        if (error.kind == statement_error_kind::not_prepared) {
+            connection.prepared.clear();
+            if (result.state == session_state::in_transaction &&
+                work.attempts < settings_.max_attempts) {
+                ++work.attempts;
+                send_statement(caller, connection, {});
+                return;
+            }
+            // The caller has prepared the statement, so it must not be told otherwise.
+            error = {statement_error_kind::aborted, "the target dropped a prepared statement",
+                     std::nullopt};
+        }
         if (proves_not_run(error.kind) && first && work.work.kind != statement_kind::commit) {
             // No statement of the transaction has run, so it can begin again at another target.
             release_transaction_connection(caller);
--- a/standins/session/include/lovagemoor/session_standins/database_connection.hpp
+++ b/standins/session/include/lovagemoor/session_standins/database_connection.hpp
@@ -64,7 +64,11 @@
 
     /// @brief Drops the prepared statements, as after a reset that the other side has not asked
     /// for.
-    void forget_prepared() { prepared_.clear(); }
+    /// @param fails_transaction An EXECUTE of a dropped name fails the transaction.
+    void forget_prepared(bool fails_transaction = false) {
+        prepared_.clear();
+        unknown_name_fails_ = fails_transaction;
+    }
 
     /// @brief The next command of this kind is answered with the error instead of being carried
     /// out.
@@ -89,6 +93,7 @@
     hooks hooks_;
     state state_ = state::idle;
     bool writable_ = false;
+    bool unknown_name_fails_ = false;
     /// Number of transactions that have begun.
     std::uint64_t transactions_ = 0;
     std::map<std::string, std::string> values_;
--- a/standins/session/src/database_connection.cpp
+++ b/standins/session/src/database_connection.cpp
@@ -155,6 +155,9 @@
         const internal::split_text name = internal::split(fields.rest);
         const auto prepared = prepared_.find(name.word);
         if (prepared == prepared_.end()) {
+            if (state_ == state::in_transaction && unknown_name_fails_) {
+                state_ = state::failed;
+            }
             return internal::error("NOPREPARED");
         }
         statement.access = prepared->second.access;
