Read the era of the registry from its answers

The registry may come back from an older copy of its items, and names its era in each answer. Nothing reacts to a new era yet.

--- a/packages/gateway/include/lovagemoor/gateway/http_client.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/http_client.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -40,6 +41,8 @@
     unsigned status = 0;
     /// Body of the response; the error message if there is none.
     std::string body;
+    /// Header values of the response, by field name in lower case.
+    std::map<std::string, std::string> headers{};
 };
 
 /// @brief HTTP/1.1 client of one server. Keeps connections open between requests.
--- a/packages/gateway/src/http_client.cpp
+++ b/packages/gateway/src/http_client.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <cctype>
 #include <optional>
 #include <utility>
 
@@ -31,6 +32,18 @@
 /// Limit on the time for opening a connection, also for requests with a longer timeout.
 constexpr std::chrono::milliseconds connect_timeout{500};
 
+std::map<std::string, std::string> headers_of(const http::response<http::string_body>& response) {
+    std::map<std::string, std::string> headers;
+    for (const http::fields::value_type& field : response) {
+        std::string name{field.name_string()};
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char character) {
+            return static_cast<char>(std::tolower(character));
+        });
+        headers[std::move(name)] = std::string{field.value()};
+    }
+    return headers;
+}
+
 } // namespace
 
 } // namespace internal
@@ -101,9 +114,11 @@
                     self->finish(http_response{http_failure::no_response, 0, error.message()});
                     return;
                 }
-                self->reusable_ = self->parser_->get().keep_alive();
-                self->finish(http_response{http_failure::none, self->parser_->get().result_int(),
-                                           std::move(self->parser_->get().body())});
+                http::response<http::string_body>& received = self->parser_->get();
+                self->reusable_ = received.keep_alive();
+                self->finish(http_response{http_failure::none, received.result_int(),
+                                           std::move(received.body()),
+                                           internal::headers_of(received)});
             });
     }
 
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -2,6 +2,7 @@
 
 #include <lovagemoor/core/ids.hpp>
 #include <lovagemoor/proxy/registry/configuration.hpp>
+#include <lovagemoor/proxy/registry/registry_call.hpp>
 #include <lovagemoor/proxy/registry/target_record.hpp>
 #include <lovagemoor/proxy/session/statement.hpp>
 #include <lovagemoor/proxy/target/target_reply.hpp>
@@ -123,6 +124,13 @@
     core::time_point sent;
 };
 
+/// @brief The registry has come back from an older copy of its items. Sent before the lists that
+/// are made in the new era.
+struct registry_restored {
+    registry_era previous = 0;
+    registry_era current = 0;
+};
+
 /// @name Failure reports and promotion
 /// @{
 
@@ -234,7 +242,7 @@
                  suspicion_reported, suspicion_withdrawn, suspicion_publish_failed,
                  suspicion_withdrawal_failed, promotion_lock_answered, promotion_lock_taken,
                  promotion_lock_released, promotion_answered, demotion_announced, demotions_listed,
-                 demotion_publish_answered, registry_contacted, registry_reachable, stop_requested,
-                 timer_expired>;
+                 demotion_publish_answered, registry_contacted, registry_reachable,
+                 registry_restored, stop_requested, timer_expired>;
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -117,6 +117,7 @@
     void on(const demotion_announced& input);
     void on(const demotions_listed& input);
     void on(const registry_contacted& input);
+    void on(const registry_restored& input);
     void on(const demotion_publish_answered& input);
     void on(const stop_requested& input);
     void on(const timer_expired& input);
--- a/packages/proxy/include/lovagemoor/proxy/fwd.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/fwd.hpp
@@ -16,6 +16,7 @@
 class session_engine;
 class primary_checks;
 class primary_view;
+class registry_era_tracker;
 class target_pool;
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/include/lovagemoor/proxy/registry/registry_call.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/registry_call.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -14,6 +15,9 @@
 /// @brief Counter that the registry increments with each change.
 using registry_revision = std::uint64_t;
 using lease_id = std::uint64_t;
+/// @brief Counter that rises by one each time the registry comes back from an older copy of its
+/// items. Revisions and leases of different eras are not comparable.
+using registry_era = std::uint64_t;
 
 struct registry_item {
     std::string key;
@@ -61,6 +65,8 @@
     bool more = false;
     /// Revision of the registry when the page was read.
     registry_revision revision = 0;
+    /// Empty if the answer names none.
+    std::optional<registry_era> era{};
 };
 
 struct item_change {
@@ -73,6 +79,8 @@
     std::vector<item_change> changes;
     /// Revision from which the next watch must continue.
     registry_revision revision = 0;
+    /// Empty if the answer names none.
+    std::optional<registry_era> era{};
 };
 
 /// @}
@@ -102,12 +110,16 @@
 struct write_outcome {
     registry_status status = registry_status::unknown;
     registry_revision revision = 0;
+    /// Empty if the answer names none.
+    std::optional<registry_era> era{};
 };
 
 struct lease_outcome {
     registry_status status = registry_status::unknown;
     lease_id lease = 0;
     std::chrono::milliseconds duration{0};
+    /// Empty if the answer names none.
+    std::optional<registry_era> era{};
 };
 
 /// @}
--- a/packages/proxy/src/engine/session_engine_promotion.cpp
+++ b/packages/proxy/src/engine/session_engine_promotion.cpp
@@ -340,6 +340,12 @@
     registry_contacted_at_ = std::max(registry_contacted_at_, input.sent);
 }
 
+void session_engine::on(const registry_restored& input) {
+    log(core::log_event::level::warning, "registry_restored",
+        {{"previous_era", std::to_string(input.previous)}, {"era", std::to_string(input.current)}});
+    count("lovagemoor_registry_era_changes_total", {});
+}
+
 void session_engine::apply_demotion(const primary_demotion& demotion) {
     service_state& state = services_[demotion.service];
     if (state.view.superseded(demotion.target, demotion.term - 1) &&
