--- a/packages/proxy/include/lovagemoor/proxy/pool/prepared_names.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/pool/prepared_names.hpp
@@ -12,7 +12,7 @@
 
 /// @brief Limits on what a target keeps prepared for one connection.
 struct prepared_limits {
-    std::size_t names = 64;
+    std::size_t names = 256;
     /// Total size of the shapes. A larger shape is kept alone.
     std::size_t shape_bytes = std::size_t{256} * 1024;
 };
