Bound what a session keeps in values and prepared statements

A caller could prepare or set any number of fields of up to 1 MiB and end a host of 112 to 182 MB for all its sessions.

--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -131,6 +131,12 @@
     /// @return True if the statement was answered because this host stops.
     bool refuse_while_stopping(session& caller, const statement& work);
     bool answer_locally(session& caller, const statement& work);
+    /// @brief Answers SET, PREPARE and DEALLOC.
+    void change_session(session& caller, const statement& work);
+    /// @brief Accounts for a value or shape of a session.
+    /// @param replaced Size of the entry that it replaces.
+    /// @return False, and an error is answered, if the session would keep too much.
+    [[nodiscard]] bool reserve(session& caller, std::size_t replaced, std::size_t added);
     void begin_transaction(session& caller, const statement& work);
     void roll_back(session& caller);
     void detach_transaction(session& caller);
--- a/packages/proxy/include/lovagemoor/proxy/session/session.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/session/session.hpp
@@ -87,6 +87,8 @@
     session_state state = session_state::idle;
     std::map<std::string, std::string> values;
     std::map<std::string, prepared_statement> prepared;
+    /// Size of the names, values and shapes above.
+    std::size_t kept_bytes = 0;
     std::optional<proxy::transaction> transaction;
     /// Set if the transaction ended without a request of the caller. Answers the next statement.
     std::optional<statement_error> transaction_error;
--- a/packages/proxy/src/engine/session_engine_sessions.cpp
+++ b/packages/proxy/src/engine/session_engine_sessions.cpp
@@ -119,20 +119,9 @@
         }
         return false;
     case statement_kind::set:
-        caller.values[work.name] = work.argument;
-        answer_success(caller);
-        return true;
     case statement_kind::prepare:
-        caller.prepared[work.name] = prepared_statement{work.read_only, work.argument};
-        answer_success(caller);
-        return true;
     case statement_kind::deallocate:
-        if (caller.prepared.erase(work.name) == 0) {
-            answer_error(caller,
-                         {statement_error_kind::not_prepared, "unknown name", std::nullopt});
-        } else {
-            answer_success(caller);
-        }
+        change_session(caller, work);
         return true;
     case statement_kind::execute:
         if (!caller.prepared.contains(work.name)) {
@@ -146,13 +135,55 @@
                               "the statement is too large to be sent to a target", std::nullopt});
         return true;
     case statement_kind::unknown:
-        answer_error(caller, {statement_error_kind::malformed, "unknown or incomplete statement", std::nullopt});
+        answer_error(caller, {statement_error_kind::malformed, "unknown or incomplete statement",
+                              std::nullopt});
         return true;
     default:
         return false;
     }
 }
 
+bool session_engine::reserve(session& caller, std::size_t replaced, std::size_t added) {
+    const std::size_t kept = caller.kept_bytes - replaced + added;
+    if (kept > settings_.max_session_bytes) {
+        answer_error(caller,
+                     {statement_error_kind::too_large,
+                      "the session keeps too many values and prepared statements", std::nullopt});
+        return false;
+    }
+    caller.kept_bytes = kept;
+    return true;
+}
+
+void session_engine::change_session(session& caller, const statement& work) {
+    const std::size_t size = work.name.size() + work.argument.size();
+    if (work.kind == statement_kind::set) {
+        const auto known = caller.values.find(work.name);
+        const std::size_t replaced =
+            known == caller.values.end() ? 0 : work.name.size() + known->second.size();
+        if (reserve(caller, replaced, size)) {
+            caller.values[work.name] = work.argument;
+            answer_success(caller);
+        }
+        return;
+    }
+    const auto known = caller.prepared.find(work.name);
+    const std::size_t replaced =
+        known == caller.prepared.end() ? 0 : work.name.size() + known->second.shape.size();
+    if (work.kind == statement_kind::prepare) {
+        if (reserve(caller, replaced, size)) {
+            caller.prepared[work.name] = prepared_statement{work.read_only, work.argument};
+            answer_success(caller);
+        }
+    } else if (known == caller.prepared.end()) {
+        answer_error(caller, {statement_error_kind::not_prepared, "unknown name", std::nullopt});
+    } else {
+        caller.kept_bytes -= replaced;
+        caller.prepared.erase(known);
+        answer_success(caller);
+    }
+}
+
 void session_engine::begin_transaction(session& caller, const statement& work) {
     if (caller.state != session_state::idle) {
         answer_error(caller,
