Start followers and the registration afresh in a new era

Before: with restored() as resumed() and on_restored() as on_lost(), the new tests a_restored_follower_lists_and_accepts_lower_revisions, a_restored_follower_drops_pages_of_the_earlier_era and a_lease_is_granted_anew_after_the_registry_was_restored fail.

--- a/packages/proxy/include/lovagemoor/proxy/registry/lease_keeper.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/lease_keeper.hpp
@@ -34,6 +34,12 @@
     /// @brief The item was removed from the registry although this process is still running.
     void on_lost(core::time_point now);
 
+    /// @brief The registry has come back from an older copy of its items: the lease and the item
+    /// are gone. The result of a pending call must not be passed on, because the registry may have
+    /// given the lease's id to another host.
+    /// @param delay Time until the next call, by which the hosts spread their calls.
+    void on_restored(core::time_point now, core::duration delay);
+
     /// @return The lease to which the item is attached; 0 if there is none.
     [[nodiscard]] lease_id lease() const noexcept { return lease_; }
 
--- a/packages/proxy/include/lovagemoor/proxy/registry/registry_era_tracker.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/registry_era_tracker.hpp
@@ -24,6 +24,13 @@
 
     [[nodiscard]] assignment assign(const std::optional<registry_era>& era);
 
+    /// @param sent Value of current() when a call was sent.
+    /// @return True if the registry has come back from an older copy since. Naming its first era
+    /// does not count.
+    [[nodiscard]] bool restored_since(const std::optional<registry_era>& sent) const noexcept {
+        return sent.has_value() && sent != current_;
+    }
+
     /// @return Empty until the registry has named an era.
     [[nodiscard]] const std::optional<registry_era>& current() const noexcept { return current_; }
 
--- a/packages/proxy/include/lovagemoor/proxy/registry/registry_follower.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/registry_follower.hpp
@@ -60,6 +60,13 @@
     /// must not be passed to it.
     [[nodiscard]] registry_follower restarted(core::time_point now) const;
 
+    /// @brief Starts afresh because the registry has come back from an older copy of its items:
+    /// revisions before are not comparable with those after.
+    /// @param delay Time until the next call, by which the hosts spread calls that are not urgent.
+    /// @return A follower that lists the items. The result of a pending call must not be passed to
+    /// it.
+    [[nodiscard]] registry_follower restored(core::time_point now, core::duration delay) const;
+
     /// @return The call to make now. Empty while a call is pending and until retry_at().
     [[nodiscard]] std::optional<call> next_call(core::time_point now);
 
@@ -91,6 +98,9 @@
     /// @return True if the last call succeeded.
     [[nodiscard]] bool connected() const noexcept { return failures_ == 0; }
 
+    /// @return Revision from which the next watch continues.
+    [[nodiscard]] registry_revision revision() const noexcept { return revision_; }
+
     [[nodiscard]] const std::string& prefix() const noexcept { return prefix_; }
 
 private:
--- a/packages/proxy/src/registry/lease_keeper.cpp
+++ b/packages/proxy/src/registry/lease_keeper.cpp
@@ -75,4 +75,11 @@
     }
 }
 
+void lease_keeper::on_restored(core::time_point now, core::duration delay) {
+    stage_ = stage::no_lease;
+    lease_ = 0;
+    under_way_ = false;
+    due_ = now + delay;
+}
+
 } // namespace lovagemoor::proxy
--- a/packages/proxy/src/registry/registry_follower.cpp
+++ b/packages/proxy/src/registry/registry_follower.cpp
@@ -36,6 +36,13 @@
     return next;
 }
 
+registry_follower registry_follower::restored(core::time_point now, core::duration delay) const {
+    registry_follower next{prefix_, settings_};
+    next.failures_ = failures_;
+    next.retry_at_ = now + delay;
+    return next;
+}
+
 std::optional<list_items> registry_follower::next_check(core::time_point now) {
     const bool watching = under_way_ && !listing_;
     if (settings_.check_interval.count() == 0 || !watching || !connected() || checking_ ||
--- a/packages/proxy/test/registry/lease_keeper_test.cpp
+++ b/packages/proxy/test/registry/lease_keeper_test.cpp
@@ -58,4 +58,19 @@
     BOOST_TEST(keeper.next_call(start + 4s).has_value());
 }
 
+// Guards against renewing a lease of an earlier era, whose id may belong to another host by now,
+// and against waiting for the result of a call that the return of the registry cut off.
+BOOST_AUTO_TEST_CASE(a_lease_is_granted_anew_after_the_registry_was_restored) {
+    lease_keeper keeper = kept();
+    BOOST_REQUIRE(std::holds_alternative<renew_lease>(*keeper.next_call(start + 3s)));
+    keeper.on_restored(start + 3s, 200ms);
+    BOOST_TEST(keeper.lease() == 0U);
+    BOOST_TEST(!keeper.next_call(start + 3100ms).has_value());
+    BOOST_TEST(std::holds_alternative<grant_lease>(*keeper.next_call(start + 3200ms)));
+    keeper.on_lease(start + 3200ms, {registry_status::done, 8, 9s});
+    const auto written = keeper.next_call(start + 3200ms);
+    BOOST_REQUIRE(std::holds_alternative<write_items>(*written));
+    BOOST_TEST(std::get<write_items>(*written).writes.front().lease == 8U);
+}
+
 } // namespace lovagemoor::proxy
--- a/packages/proxy/test/registry/registry_era_tracker_test.cpp
+++ b/packages/proxy/test/registry/registry_era_tracker_test.cpp
@@ -46,4 +46,19 @@
     BOOST_TEST((last == sample.last));
 }
 
+// Guards against taking the answer to a call of an earlier era, such as the renewal of a lease
+// whose id was granted to another host since, and against dropping answers when the first era is
+// named.
+BOOST_AUTO_TEST_CASE(calls_of_an_earlier_era_are_recognised) {
+    registry_era_tracker tracker;
+    const std::optional<registry_era> before = tracker.current();
+    static_cast<void>(tracker.assign(4));
+    const std::optional<registry_era> first = tracker.current();
+    BOOST_TEST(!tracker.restored_since(before));
+    BOOST_TEST(!tracker.restored_since(first));
+    static_cast<void>(tracker.assign(5));
+    BOOST_TEST(tracker.restored_since(first));
+    BOOST_TEST(!tracker.restored_since(tracker.current()));
+}
+
 } // namespace lovagemoor::proxy
--- a/packages/proxy/test/registry/registry_follower_test.cpp
+++ b/packages/proxy/test/registry/registry_follower_test.cpp
@@ -151,6 +151,38 @@
     BOOST_TEST((std::get<watch_items>(*call).wait <= 1s));
 }
 
+// Guards against watching from a revision of an earlier era. It may have been given out again, so
+// that the watch misses changes without an error.
+BOOST_AUTO_TEST_CASE(a_restored_follower_lists_and_accepts_lower_revisions) {
+    registry_follower follower = listed({.check_interval = 2400ms});
+    BOOST_REQUIRE(watches_after(follower.next_call(start), 7));
+    BOOST_REQUIRE(follower.next_check(start + 3s).has_value());
+    registry_follower next = follower.restored(start + 3s, 200ms);
+    BOOST_TEST(next.connected());
+    BOOST_TEST(!next.next_call(start + 3100ms).has_value());
+    BOOST_REQUIRE(lists(next.next_call(start + 3200ms)));
+    const registry_follower::update update =
+        next.on_page(start + 3200ms, page({{"p/a", "0", 3}}, false, 4));
+    BOOST_TEST(update.complete);
+    BOOST_REQUIRE(watches_after(next.next_call(start + 3200ms), 4));
+    BOOST_REQUIRE(next.next_check(start + 6s).has_value());
+    BOOST_TEST((next.on_check(start + 6s, page({{"p/a", "1", 5}}, false, 6)) ==
+                registry_follower::check_result::watch_lost));
+}
+
+// Guards against a list that is put together from pages of two eras.
+BOOST_AUTO_TEST_CASE(a_restored_follower_drops_pages_of_the_earlier_era) {
+    registry_follower follower{"p/"};
+    BOOST_REQUIRE(follower.next_call(start).has_value());
+    static_cast<void>(follower.on_page(start, page({{"p/a", "1", 5}}, true, 7)));
+    registry_follower next = follower.restored(start, 0ms);
+    const std::optional<registry_follower::call> call = next.next_call(start);
+    BOOST_REQUIRE(lists(call));
+    BOOST_TEST(std::get<list_items>(*call).after_key.empty());
+    const registry_follower::update update = next.on_page(start, page({{"p/b", "1", 3}}, false, 4));
+    BOOST_TEST(update.changes.size() == 1U);
+}
+
 namespace {
 
 struct check_case {
