Assign every answer of the registry to an era in the host

An answer of an earlier era, or without a readable era once one is known, has the result of a call without an answer. With the first answer of a newer era the engine gets registry_restored, then the followers list anew and the host registers under a new lease. Results of calls for the registration that were sent before are ignored, as the lease's id may have been given out again.

--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -3,6 +3,7 @@
 #include <lovagemoor/core/overloaded.hpp>
 #include <lovagemoor/platform_adapter/registry_documents.hpp>
 #include <lovagemoor/platform_adapter/statement_protocol.hpp>
+#include <lovagemoor/proxy/registry/restoration_delay.hpp>
 
 #include <charconv>
 #include <csignal>
@@ -138,6 +139,8 @@
       engine_timer_{context_},
       registry_timer_{context_},
       signals_{context_, SIGTERM, SIGINT, SIGHUP} {
+    registry_client_.set_answer_filter(
+        [this](const std::optional<proxy::registry_era>& era) { return accept_answer(era); });
     if (!settings.metrics_listen.empty()) {
         metrics_server_.emplace(context_, settings.metrics_listen,
                                 [this](const gateway::http_server::request& request) {
@@ -282,12 +285,61 @@
     });
 }
 
+bool session_host::accept_answer(const std::optional<proxy::registry_era>& era) {
+    const std::optional<proxy::registry_era> previous = registry_eras_.current();
+    switch (registry_eras_.assign(era)) {
+    case proxy::registry_era_tracker::assignment::current:
+        return true;
+    case proxy::registry_era_tracker::assignment::newer:
+        handle(proxy::registry_restored{*previous, *era});
+        restart_after_restoration();
+        return true;
+    case proxy::registry_era_tracker::assignment::outdated:
+        break;
+    }
+    log(core::log_event::level::debug, "registry_answer_ignored",
+        {{"era", era.has_value() ? std::to_string(*era) : "none"},
+         {"current_era", previous.has_value() ? std::to_string(*previous) : "none"}});
+    return false;
+}
+
+void session_host::restart_after_restoration() {
+    const core::time_point time = internal::now();
+    const std::chrono::milliseconds delay = proxy::restoration_delay(settings_.id);
+    const auto start_afresh = [&](std::shared_ptr<proxy::registry_follower>& follower,
+                                  core::duration pause) {
+        if (follower != nullptr) {
+            follower = std::make_shared<proxy::registry_follower>(follower->restored(time, pause));
+        }
+    };
+    log(core::log_event::level::info, "registry_reread",
+        {{"revision", std::to_string(configuration_follower_->revision())},
+         {"lease", std::to_string(registration_.lease())},
+         {"delay_ms", std::to_string(delay.count())}});
+    for (std::shared_ptr<proxy::registry_follower>* const urgent :
+         {&configuration_follower_, &targets_follower_, &demotions_follower_}) {
+        start_afresh(*urgent, {});
+        if (*urgent != nullptr) {
+            run_follower(*urgent);
+        }
+    }
+    start_afresh(hosts_follower_, delay);
+    start_afresh(promotion_follower_, delay);
+    registration_.on_restored(time, delay);
+}
+
 void session_host::maintain_registration() {
     const std::optional<proxy::lease_keeper::call> call = registration_.next_call(internal::now());
     if (!call.has_value()) {
         return;
     }
-    const auto on_lease = [this](const proxy::lease_outcome& outcome) {
+    // The registration starts anew when the registry is restored, and the id of a lease may be
+    // given out again, so results of calls that were sent before are ignored.
+    const std::optional<proxy::registry_era> sent_in = registry_eras_.current();
+    const auto on_lease = [this, sent_in](const proxy::lease_outcome& outcome) {
+        if (registry_eras_.restored_since(sent_in)) {
+            return;
+        }
         registration_.on_lease(internal::now(), outcome);
         if (outcome.status == proxy::registry_status::unknown ||
             outcome.status == proxy::registry_status::rejected) {
@@ -300,7 +352,10 @@
             [&](const proxy::grant_lease& value) { registry_client_.grant(value, on_lease); },
             [&](const proxy::renew_lease& value) { registry_client_.renew(value, on_lease); },
             [&](const proxy::write_items& value) {
-                registry_client_.write(value, [this](const proxy::write_outcome& outcome) {
+                registry_client_.write(value, [this, sent_in](const proxy::write_outcome& outcome) {
+                    if (registry_eras_.restored_since(sent_in)) {
+                        return;
+                    }
                     registration_.on_written(internal::now(), outcome);
                     maintain_registration();
                 });
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -7,6 +7,7 @@
 #include <lovagemoor/proxy/engine/session_engine.hpp>
 #include <lovagemoor/proxy/promotion/promotion_lock_claim.hpp>
 #include <lovagemoor/proxy/registry/lease_keeper.hpp>
+#include <lovagemoor/proxy/registry/registry_era_tracker.hpp>
 #include <lovagemoor/proxy/registry/registry_follower.hpp>
 #include <lovagemoor/settings/session_settings.hpp>
 #include <lovagemoor/telemetry/logger.hpp>
@@ -52,6 +53,12 @@
     void wait_for_signals();
     void reload();
 
+    /// @brief Assigns an answer of the registry to an era. The first answer of a newer era starts
+    /// all that rests on the registry's items afresh.
+    /// @return False if the answer must be ignored.
+    [[nodiscard]] bool accept_answer(const std::optional<proxy::registry_era>& era);
+    void restart_after_restoration();
+
     void run_follower(const std::shared_ptr<proxy::registry_follower>& follower);
     /// @return The followers that watch changes. Pointers to null where none is active.
     [[nodiscard]] std::array<std::shared_ptr<proxy::registry_follower>*, 4> watching_followers();
@@ -87,6 +94,7 @@
     gateway::target_connections targets_;
     gateway::http_server ready_server_;
     std::optional<gateway::http_server> metrics_server_;
+    proxy::registry_era_tracker registry_eras_;
     platform_adapter::registry_client registry_client_;
     std::optional<platform_adapter::promotion_client> promotion_client_;
     std::shared_ptr<proxy::registry_follower> configuration_follower_;
