--- a/packages/proxy/test/registry/registry_follower_property_test.cpp
+++ b/packages/proxy/test/registry/registry_follower_property_test.cpp
@@ -557,8 +557,14 @@
     core::duration longest{0};
     std::uint64_t longest_seed = 0;
     int broken = 0;
+    int lists = 0;
+    int stale_lists = 0;
+    int watches = 0;
     for (int seed = 1; seed <= seeds; ++seed) {
         const run_result result = play(static_cast<std::uint64_t>(seed), kind);
+        lists += result.lists;
+        stale_lists += result.stale_lists;
+        watches += result.watches;
         if (result.settled_after > longest) {
             longest = result.settled_after;
             longest_seed = static_cast<std::uint64_t>(seed);
@@ -572,7 +578,9 @@
         }
     }
     BOOST_TEST_MESSAGE("longest " << std::chrono::duration_cast<milliseconds>(longest).count()
-                                  << " ms, seed " << longest_seed);
+                                  << " ms, seed " << longest_seed << "; " << lists << " lists, "
+                                  << stale_lists << " stale lists and " << watches << " watches in "
+                                  << seeds << " runs");
     BOOST_TEST(broken == 0);
 }
 
