--- a/packages/proxy/test/registry/registry_follower_property_test.cpp
+++ b/packages/proxy/test/registry/registry_follower_property_test.cpp
@@ -115,9 +115,9 @@
     void drop_history(bool silent) {
         state_.history.clear();
         state_.history_from = state_.revision;
-        for (pending_watch& watch : std::exchange(watches_, {})) {
+        for (const pending_watch& watch : std::exchange(watches_, {})) {
             if (silent) {
-                wait_out(std::move(watch));
+                wait_out(watch);
             } else {
                 answer(watch.done, item_changes{registry_status::history_lost, {}, 0, state_.era});
             }
@@ -240,7 +240,7 @@
         }
     }
 
-    void wait_out(pending_watch watch) {
+    void wait_out(const pending_watch& watch) {
         tasks_.after(watch.until - tasks_.now(), [this, done = watch.done, era = state_.era] {
             if (era == state_.era) {
                 answer(done, item_changes{registry_status::done, {}, state_.revision, state_.era});
@@ -257,11 +257,14 @@
 
     /// @param current_era Not from before the last return.
     [[nodiscard]] const state& state_at(core::time_point at, bool current_era) const {
-        const std::pair<core::time_point, state>* best = nullptr;
-        for (const auto& entry : past_) {
-            const bool admitted = !current_era || entry.second.era == state_.era;
-            if (admitted && (best == nullptr || entry.first <= at)) {
-                best = &entry;
+        auto best = past_.rbegin();
+        for (auto entry = past_.rbegin(); entry != past_.rend(); ++entry) {
+            if (current_era && entry->second.era != state_.era) {
+                break;
+            }
+            best = entry;
+            if (entry->first <= at) {
+                break;
             }
         }
         return best->second;
