Show on real processes that a host follows a store that came back from a copy

The test lets a revision be given out again, so that a watch from it misses the change, and checks that the host registers again, keeps the newer configuration and its sessions, and takes a new configuration within 4 s.

--- a/standins/session/include/lovagemoor/session_standins/standin_store.hpp
+++ b/standins/session/include/lovagemoor/session_standins/standin_store.hpp
@@ -28,6 +28,12 @@
     /// are answered.
     void lose_watches(bool lose) noexcept { lose_watches_ = lose; }
 
+    /// @brief Copies the items, for restore_copy().
+    void take_copy() { copy_ = {items_, revision_}; }
+
+    /// @brief Comes back from the copy, in the next era: revisions go back, and leases are gone.
+    void restore_copy();
+
     [[nodiscard]] bool contains(const std::string& key) const;
 
 private:
@@ -46,6 +52,11 @@
         std::chrono::steady_clock::time_point expires_at;
     };
 
+    struct copy {
+        std::map<std::string, item> items;
+        std::uint64_t revision = 1;
+    };
+
     void expire_leases();
     void remove(item& stored);
     [[nodiscard]] gateway::http_server::response grant_lease(const std::string& body);
@@ -53,6 +64,8 @@
 
     [[nodiscard]] gateway::http_server::response
     respond(const gateway::http_server::request& request);
+    [[nodiscard]] gateway::http_server::response
+    execute(const gateway::http_server::request& request);
     [[nodiscard]] gateway::http_server::response list_items(const std::string& prefix) const;
     [[nodiscard]] gateway::http_server::response list_changes(const std::string& prefix,
                                                               std::uint64_t after) const;
@@ -60,6 +73,8 @@
 
     std::map<std::string, item> items_;
     std::uint64_t revision_ = 1;
+    std::uint64_t era_ = 1;
+    copy copy_;
     bool lose_watches_ = false;
     std::map<std::uint64_t, lease> leases_;
     std::uint64_t last_lease_id_ = 0;
--- a/standins/session/src/standin_store.cpp
+++ b/standins/session/src/standin_store.cpp
@@ -73,8 +73,22 @@
     stored.revision = ++revision_;
 }
 
+void standin_store::restore_copy() {
+    items_ = copy_.items;
+    revision_ = copy_.revision;
+    leases_.clear();
+    ++era_;
+}
+
 gateway::http_server::response
 standin_store::respond(const gateway::http_server::request& request) {
+    gateway::http_server::response response = execute(request);
+    response.headers.emplace("Store-Era", std::to_string(era_));
+    return response;
+}
+
+gateway::http_server::response
+standin_store::execute(const gateway::http_server::request& request) {
     expire_leases();
     const std::string path = request.target.substr(0, request.target.find('?'));
     const std::string renewal = "/v1/kv-keep/";
@@ -129,6 +143,10 @@
 
 gateway::http_server::response standin_store::list_changes(const std::string& prefix,
                                                            std::uint64_t after) const {
+    if (after > revision_) {
+        // A revision of an earlier era that has not been given out again
+        return {410, "application/json", "{}", {}};
+    }
     internal::json events = internal::json::array();
     for (const auto& [key, stored] : items_) {
         if (!key.starts_with(prefix) || stored.revision <= after) {
--- a/tests/process/session_host_test.cpp
+++ b/tests/process/session_host_test.cpp
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <optional>
 #include <string>
 #include <thread>
@@ -99,6 +100,30 @@
         boost::asio::post(context_, [this, key, value] { store_.put(key, value); });
     }
 
+    void copy_store() {
+        boost::asio::post(context_, [this] { store_.take_copy(); });
+    }
+
+    /// @brief The store comes back from the copy. The configuration is written again at once, and
+    /// other items until the revisions of before the return are exceeded.
+    void restore_store(const std::string& new_configuration) {
+        boost::asio::post(context_, [this, new_configuration] {
+            store_.restore_copy();
+            store_.put("op/config", new_configuration);
+            for (int index = 0; index < 50; ++index) {
+                store_.put("other/" + std::to_string(index), "");
+            }
+        });
+    }
+
+    [[nodiscard]] bool registered() {
+        std::promise<bool> found;
+        boost::asio::post(context_, [this, &found] {
+            found.set_value(store_.contains("lovagemoor/hosts/host-1"));
+        });
+        return found.get_future().get();
+    }
+
     [[nodiscard]] std::string database_entry(const std::string& state) const {
         return R"({"service":"s","address":")" + database_.address() +
                R"(","zone":"a","slots":2,"state":")" + state + R"(","db_role":"primary"})";
@@ -310,6 +335,40 @@
     BOOST_TEST((last_served - changed_at < 7s));
 }
 
+// Guards against a host that misses a change after the store came back from an older copy: the
+// revision of its watch was given out again, so that the watch gets neither 410 nor the change.
+// Also guards against a session that ends because of a return, a configuration that goes back, and
+// a host that stays unregistered under a lease that is gone.
+BOOST_AUTO_TEST_CASE(changes_are_followed_after_the_store_came_back_from_an_older_copy) {
+    running_host host;
+    host.copy_store();
+    caller_session session{host.caller_port()};
+    host.put("op/config", running_host::configuration(3, {"orders", "added"}));
+    caller_session added{host.caller_port(), "added"};
+
+    host.restore_store(running_host::configuration(2, {"orders"}));
+    const auto restored_at = std::chrono::steady_clock::now();
+    bool registered = false;
+    while (!registered && std::chrono::steady_clock::now() - restored_at < 8s) {
+        std::this_thread::sleep_for(50ms);
+        registered = host.registered();
+    }
+    BOOST_TEST(registered);
+    BOOST_TEST((std::chrono::steady_clock::now() - restored_at < 5s));
+    BOOST_TEST(added.execute("READ kit-1").front().starts_with("DATAROW"));
+    caller_session added_again{host.caller_port(), "added"};
+    BOOST_TEST(added_again.execute("READ kit-1").front().starts_with("DATAROW"));
+
+    host.copy_store();
+    host.put("op/config", running_host::configuration(4, {"orders"}));
+    std::this_thread::sleep_for(1s);
+    host.restore_store(running_host::configuration(5, {"orders", "added", "last"}));
+    const auto changed_at = std::chrono::steady_clock::now();
+    caller_session last{host.caller_port(), "last"};
+    BOOST_TEST((std::chrono::steady_clock::now() - changed_at < 4s));
+    BOOST_TEST(session.execute("READ kit-1").front().starts_with("DATAROW"));
+}
+
 // Guards against a planned stop that ends a session while its transaction is open.
 BOOST_AUTO_TEST_CASE(a_graceful_stop_waits_for_an_open_transaction) {
     running_host host;
