Give the promotion lock fencing tokens that grow with the era

The token was the revision of the lock's item, which the registry gives out again after it has come back from an older copy. The token now also holds the era, and the revision, the condition of announced demotions, is a value of its own. Tokens of a registry without eras, and of the first era, stay plain revisions, so that hosts of earlier builds can take turns with this one. Assumes that the first era is 1.

--- a/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
@@ -3,6 +3,7 @@
 #include <lovagemoor/core/ids.hpp>
 #include <lovagemoor/core/telemetry_event.hpp>
 #include <lovagemoor/proxy/engine/event.hpp>
+#include <lovagemoor/proxy/promotion/promotion_token.hpp>
 #include <lovagemoor/proxy/session/statement_result.hpp>
 #include <lovagemoor/proxy/target/target_command.hpp>
 
@@ -92,7 +93,7 @@
 struct publish_demotion {
     primary_demotion demotion;
     /// The demotion is only published while this host holds the promotion lock with this token.
-    std::uint64_t fencing_token = 0;
+    promotion_token fencing_token;
 };
 
 /// @brief Lists the announced demotions, then follows further ones. Answered by demotions_listed.
@@ -105,7 +106,7 @@
 struct promote_target {
     core::service_id service;
     core::target_id target;
-    std::uint64_t fencing_token = 0;
+    promotion_token fencing_token;
 };
 
 /// @}
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <lovagemoor/core/ids.hpp>
+#include <lovagemoor/proxy/promotion/promotion_token.hpp>
 #include <lovagemoor/proxy/registry/configuration.hpp>
 #include <lovagemoor/proxy/registry/registry_call.hpp>
 #include <lovagemoor/proxy/registry/target_record.hpp>
@@ -170,21 +171,20 @@
 /// @brief Result of a request for the promotion lock.
 struct promotion_lock_answered {
     promotion_lock_result result = promotion_lock_result::unknown;
-    /// Increases with each new holder of the lock.
-    std::uint64_t fencing_token = 0;
+    promotion_token fencing_token;
     /// Time for which this host still holds the lock.
     std::chrono::milliseconds valid_for{0};
 };
 
 /// @brief Another host acquired the promotion lock.
 struct promotion_lock_taken {
-    std::uint64_t fencing_token = 0;
+    promotion_token fencing_token;
 };
 
 /// @brief The promotion lock was released by its holder or its lease expired.
 struct promotion_lock_released {
     /// Greater than the fencing token of the former holder and less than those of later holders.
-    std::uint64_t revision = 0;
+    promotion_token fencing_token;
 };
 
 enum class promotion_result : std::uint8_t {
--- a/packages/proxy/include/lovagemoor/proxy/promotion/failover_coordinator.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/promotion/failover_coordinator.hpp
@@ -3,6 +3,7 @@
 #include <lovagemoor/core/ids.hpp>
 #include <lovagemoor/core/time.hpp>
 #include <lovagemoor/proxy/engine/event.hpp>
+#include <lovagemoor/proxy/promotion/promotion_token.hpp>
 
 #include <chrono>
 #include <cstddef>
@@ -129,13 +130,13 @@
 /// @brief Tells all hosts to stop using the former primary and to demote it if they reach it.
 struct announce_demotion {
     primary_demotion demotion;
-    std::uint64_t fencing_token = 0;
+    promotion_token fencing_token;
 };
 
 struct call_promotion {
     core::service_id service;
     core::target_id target;
-    std::uint64_t fencing_token = 0;
+    promotion_token fencing_token;
     /// Known positions of all targets, the former primary included if it has been demoted.
     std::map<core::target_id, replication_position> positions;
     /// Last known position of the former primary: the one at its demotion, otherwise the one of the
@@ -161,8 +162,8 @@
 /// @brief Decides when to replace a service's primary, and by which target.
 ///
 /// The hosts have no permanent leader. A host that detects the need for a failover acquires the
-/// promotion lock in the registry; the revision of the lock is the fencing token of its calls. The
-/// host then queries the replicas for their positions.
+/// promotion lock in the registry, which gives the fencing token of its calls (promotion_token).
+/// The host then queries the replicas for their positions.
 ///
 /// A primary may continue to accept writes after another target was promoted. Before the call, the
 /// former primary is therefore demoted: either it acknowledges the demotion, or the demotion is
@@ -299,7 +300,7 @@
                                                               const attempt& current);
 
     failover_settings settings_;
-    std::optional<std::uint64_t> fencing_token_;
+    std::optional<promotion_token> fencing_token_;
     core::time_point lock_held_until_;
     bool lock_requested_ = false;
     /// Latest time until which another host may hold the lock.
--- a/packages/proxy/src/engine/session_engine_promotion.cpp
+++ b/packages/proxy/src/engine/session_engine_promotion.cpp
@@ -282,7 +282,7 @@
     log(core::log_event::level::warning, "promotion_called",
         {{"service", call.service.value},
          {"target", call.target.value},
-         {"fencing_token", std::to_string(call.fencing_token)},
+         {"fencing_token", std::to_string(call.fencing_token.value())},
          {"candidates", candidates},
          {"former_position",
           call.former_position.has_value() ? to_string(*call.former_position) : "none"},
@@ -450,7 +450,7 @@
         {{"result", input.result == promotion_lock_result::acquired        ? "acquired"
                     : input.result == promotion_lock_result::held_by_other ? "held_by_other"
                                                                            : "unknown"},
-         {"fencing_token", std::to_string(input.fencing_token)}});
+         {"fencing_token", std::to_string(input.fencing_token.value())}});
     failover_coordinator_.on_promotion_lock_answered(now_, input);
     advance_failovers();
 }
--- a/packages/proxy/src/promotion/failover_coordinator.cpp
+++ b/packages/proxy/src/promotion/failover_coordinator.cpp
@@ -367,7 +367,7 @@
 
 void failover_coordinator::on_promotion_lock_released(const promotion_lock_released& end) {
     lock_taken_until_ = {};
-    if (fencing_token_.has_value() && *fencing_token_ < end.revision) {
+    if (fencing_token_.has_value() && *fencing_token_ < end.fencing_token) {
         fencing_token_.reset();
     }
 }
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -50,7 +50,8 @@
         cluster.apply(suspicion_reported{{core::service_id{"s"}, t0, core::host_id{host}}});
     }
     cluster.run_for(500ms);
-    cluster.apply(promotion_lock_answered{promotion_lock_result::acquired, 7, 8000ms});
+    cluster.apply(
+        promotion_lock_answered{promotion_lock_result::acquired, promotion_token{7}, 8000ms});
 }
 
 } // namespace
@@ -523,7 +524,8 @@
     for (int step = 0; step < 80; ++step) {
         if (cluster.performed<acquire_promotion_lock>().size() > answered_locks) {
             answered_locks = cluster.performed<acquire_promotion_lock>().size();
-            cluster.apply(promotion_lock_answered{promotion_lock_result::acquired, 7, 3000ms});
+            cluster.apply(promotion_lock_answered{promotion_lock_result::acquired,
+                                                  promotion_token{7}, 3000ms});
         }
         const std::string id = cluster.send(cluster.open("latest"), kind::write, "x");
         cluster.run_for(100ms);
@@ -577,7 +579,8 @@
     for (const char* const host : {"host-2", "host-3"}) {
         cluster.apply(suspicion_reported{{service, {}, core::host_id{host}}});
     }
-    cluster.apply(promotion_lock_answered{promotion_lock_result::acquired, 7, 3000ms});
+    cluster.apply(
+        promotion_lock_answered{promotion_lock_result::acquired, promotion_token{7}, 3000ms});
     cluster.run_for(2s);
     BOOST_TEST(cluster.performed<promote_target>().size() > 0U);
 }
@@ -595,12 +598,13 @@
     }
     cluster.run_for(1s);
     BOOST_TEST(cluster.performed<acquire_promotion_lock>().size() == 1U);
-    cluster.apply(promotion_lock_answered{promotion_lock_result::acquired, 7, 3000ms});
+    cluster.apply(
+        promotion_lock_answered{promotion_lock_result::acquired, promotion_token{7}, 3000ms});
     cluster.run_for(500ms);
     const std::vector<promote_target> calls = cluster.performed<promote_target>();
     BOOST_REQUIRE(!calls.empty());
     BOOST_TEST((calls.front().target != t0));
-    BOOST_TEST(calls.front().fencing_token == 7U);
+    BOOST_TEST(calls.front().fencing_token.value() == 7U);
 }
 
 // Guards against a delayed failover. Two services waited 6 s for a primary: the holder of the
@@ -621,7 +625,8 @@
     cluster.start_reference(host_count);
     cluster.send(cluster.open("latest"), kind::write, "x");
     cluster.run_for(100ms);
-    cluster.apply(promotion_lock_answered{promotion_lock_result::acquired, 7, 3000ms});
+    cluster.apply(
+        promotion_lock_answered{promotion_lock_result::acquired, promotion_token{7}, 3000ms});
     for (const core::host_id& observer : observers) {
         cluster.apply(suspicion_reported{{core::service_id{"s"}, t0, observer}});
     }
@@ -687,7 +692,7 @@
         cluster.apply(suspicion_reported{{core::service_id{"s"}, t0, core::host_id{host}}});
     }
     cluster.targets.at(t0).reachable = true;
-    cluster.apply(promotion_lock_answered{promotion_lock_result::held_by_other, 0, 0ms});
+    cluster.apply(promotion_lock_answered{promotion_lock_result::held_by_other, {}, 0ms});
     cluster.run_for(5s);
     BOOST_REQUIRE(cluster.performed<follow_promotions>().size() == 2U);
     BOOST_TEST(!cluster.performed<follow_promotions>().back().active);
--- a/packages/proxy/test/promotion/failover_coordinator_test.cpp
+++ b/packages/proxy/test/promotion/failover_coordinator_test.cpp
@@ -60,7 +60,8 @@
 failover_coordinator inspecting(const failover_input& input) {
     failover_coordinator made{failover_settings{}};
     BOOST_REQUIRE(only<request_promotion_lock>(made.advance(start, {input})).has_value());
-    made.on_promotion_lock_answered(start, {promotion_lock_result::acquired, 9, 3000ms});
+    made.on_promotion_lock_answered(start,
+                                    {promotion_lock_result::acquired, promotion_token{9}, 3000ms});
     BOOST_REQUIRE(only<inspect_replicas>(made.advance(start, {input})).has_value());
     return made;
 }
@@ -86,8 +87,9 @@
 
 const std::vector<lock_case> lock_cases{
     {"free", std::nullopt, std::nullopt, true},
-    {"taken by another host", promotion_lock_taken{9}, std::nullopt, false},
-    {"released again", promotion_lock_taken{9}, promotion_lock_released{10}, true},
+    {"taken by another host", promotion_lock_taken{promotion_token{9}}, std::nullopt, false},
+    {"released again", promotion_lock_taken{promotion_token{9}},
+     promotion_lock_released{promotion_token{10}}, true},
 };
 
 struct choice_case {
@@ -139,17 +141,17 @@
 // Guards against waiting for the release of a lock if the event was missed.
 BOOST_AUTO_TEST_CASE(a_lock_of_another_host_is_assumed_to_expire) {
     failover_coordinator made{failover_settings{}};
-    made.on_promotion_lock_taken(start, promotion_lock_taken{9});
+    made.on_promotion_lock_taken(start, promotion_lock_taken{promotion_token{9}});
     BOOST_TEST(only<request_promotion_lock>(made.advance(start + 3s, {lost()})).has_value());
 }
 
 // Guards against losing an own lock to late events of earlier locks.
 BOOST_AUTO_TEST_CASE(events_of_earlier_locks_do_not_end_an_own_lock) {
     failover_coordinator made = inspecting(lost());
-    made.on_promotion_lock_taken(start, promotion_lock_taken{7});
-    made.on_promotion_lock_released(promotion_lock_released{8});
+    made.on_promotion_lock_taken(start, promotion_lock_taken{promotion_token{7}});
+    made.on_promotion_lock_released(promotion_lock_released{promotion_token{8}});
     BOOST_TEST(made.holds_promotion_lock(start + 1s));
-    made.on_promotion_lock_released(promotion_lock_released{10});
+    made.on_promotion_lock_released(promotion_lock_released{promotion_token{10}});
     BOOST_TEST(!made.holds_promotion_lock(start + 1s));
 }
 
@@ -167,7 +169,7 @@
         only<call_promotion>(made.advance(start + 200ms, {input}));
     BOOST_REQUIRE(call.has_value());
     BOOST_TEST(call->target.value == sample.expected);
-    BOOST_TEST(call->fencing_token == 9U);
+    BOOST_TEST(call->fencing_token.value() == 9U);
 }
 
 // Guards against promoting two targets if an answer is lost: the first call may still be executed.
@@ -184,7 +186,7 @@
         only<call_promotion>(made.advance(start + 800ms, {lost()}));
     BOOST_REQUIRE(second.has_value());
     BOOST_TEST((second->target == first->target));
-    BOOST_TEST(second->fencing_token == first->fencing_token);
+    BOOST_TEST(second->fencing_token.value() == first->fencing_token.value());
 }
 
 // Guards against a failover that stops at a candidate that is not running.
@@ -219,7 +221,8 @@
 BOOST_AUTO_TEST_CASE(synchronous_replicas_are_held_and_inspected_before_a_promotion) {
     failover_coordinator made{failover_settings{}};
     BOOST_REQUIRE(only<request_promotion_lock>(made.advance(start, {lost(1)})).has_value());
-    made.on_promotion_lock_answered(start, {promotion_lock_result::acquired, 9, 3000ms});
+    made.on_promotion_lock_answered(start,
+                                    {promotion_lock_result::acquired, promotion_token{9}, 3000ms});
     const std::optional<inspect_replicas> inspection =
         only<inspect_replicas>(made.advance(start, {lost(1)}));
     BOOST_REQUIRE(inspection.has_value());
@@ -358,8 +361,8 @@
         for (const failover_step& step :
              made.advance(start + elapsed, {lost ? input : recovered})) {
             if (std::holds_alternative<request_promotion_lock>(step)) {
-                made.on_promotion_lock_answered(start + elapsed,
-                                                {promotion_lock_result::acquired, 10, 3000ms});
+                made.on_promotion_lock_answered(start + elapsed, {promotion_lock_result::acquired,
+                                                                  promotion_token{10}, 3000ms});
             }
             if (std::holds_alternative<release_replicas>(step)) {
                 BOOST_TEST(!lost);
@@ -385,7 +388,7 @@
 BOOST_AUTO_TEST_CASE(a_refused_lock_is_requested_again_later) {
     failover_coordinator made{failover_settings{}};
     BOOST_REQUIRE(only<request_promotion_lock>(made.advance(start, {lost()})).has_value());
-    made.on_promotion_lock_answered(start, {promotion_lock_result::held_by_other, 0, 0ms});
+    made.on_promotion_lock_answered(start, {promotion_lock_result::held_by_other, {}, 0ms});
     BOOST_TEST(made.advance(start + 10ms, {lost()}).empty());
     BOOST_TEST(only<request_promotion_lock>(made.advance(start + 300ms, {lost()})).has_value());
 }
@@ -561,7 +564,7 @@
     BOOST_TEST(all<demote_primary>(steps).front().demotion.term == 7U);
     BOOST_REQUIRE(all<announce_demotion>(steps).size() == 1U);
     BOOST_TEST(all<announce_demotion>(steps).front().demotion.term == 7U);
-    BOOST_TEST(all<announce_demotion>(steps).front().fencing_token == 9U);
+    BOOST_TEST(all<announce_demotion>(steps).front().fencing_token.value() == 9U);
 }
 
 // Guards against replacing a primary that this host did not know.
@@ -682,7 +685,8 @@
     settings.lock_duration = 20s;
     failover_coordinator made{settings};
     BOOST_REQUIRE(only<request_promotion_lock>(made.advance(start, {input})).has_value());
-    made.on_promotion_lock_answered(start, {promotion_lock_result::acquired, 9, 20s});
+    made.on_promotion_lock_answered(start,
+                                    {promotion_lock_result::acquired, promotion_token{9}, 20s});
     std::optional<core::duration> demoted_after;
     for (core::duration elapsed = 0ms; elapsed <= 3s && !demoted_after.has_value();
          elapsed += 10ms) {
@@ -886,7 +890,8 @@
     settings.lock_duration = 60s;
     failover_coordinator made{settings};
     static_cast<void>(made.advance(start, {input}));
-    made.on_promotion_lock_answered(start, {promotion_lock_result::acquired, 9, 60s});
+    made.on_promotion_lock_answered(start,
+                                    {promotion_lock_result::acquired, promotion_token{9}, 60s});
     std::size_t demotions = 0;
     core::duration leads_at = 1h;
     bool leading = true;
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -28,8 +28,8 @@
 /// Prefix of reports that a primary is suspected. The service and the reporting host follow; the
 /// value is the suspected target.
 constexpr std::string_view suspicions_prefix = "lovagemoor/promotion/suspicions/";
-/// Key of the promotion lock. The value is the host that may promote; the item's revision is its
-/// fencing token.
+/// Key of the promotion lock. The value is the host that may promote; the item's revision and the
+/// era of the registry give its fencing token (promotion_token).
 constexpr std::string_view promotion_lock_key = "lovagemoor/promotion/duty";
 /// @}
 
@@ -550,17 +550,23 @@
 }
 
 void session_host::apply_promotion_lock(const proxy::item_change& change) {
+    const std::optional<proxy::promotion_token> token =
+        proxy::promotion_token::make(registry_eras_.current(), change.item.revision);
+    if (!token.has_value()) {
+        log_token_out_of_bounds(change.item.revision);
+        return;
+    }
     if (change.removed) {
-        handle(proxy::promotion_lock_released{change.item.revision});
+        handle(proxy::promotion_lock_released{*token});
         return;
     }
     switch (lock_claim_.owner_of(change.item, settings_.id)) {
     case proxy::promotion_lock_owner::other:
-        handle(proxy::promotion_lock_taken{change.item.revision});
+        handle(proxy::promotion_lock_taken{*token});
         break;
     case proxy::promotion_lock_owner::pending_claim:
         // The lock was claimed, but the response to the claim was lost.
-        finish_lock_claim({proxy::promotion_lock_result::acquired, change.item.revision, {}});
+        finish_lock_claim(change.item.revision);
         break;
     case proxy::promotion_lock_owner::known_claim:
         break;
@@ -580,28 +586,46 @@
 
 void session_host::perform(const proxy::acquire_promotion_lock& action) {
     lock_claim_.start(internal::now(), action.duration);
-    registry_client_.grant(proxy::grant_lease{action.duration}, [this](const proxy::lease_outcome&
-                                                                           granted) {
-        if (granted.status != proxy::registry_status::done) {
-            finish_lock_claim({});
-            return;
-        }
-        lock_claim_.on_granted(granted.lease);
-        const proxy::write_items claim{
-            {{std::string{internal::promotion_lock_key}, 0}},
-            {{std::string{internal::promotion_lock_key}, settings_.id.value, granted.lease}},
-            {}};
-        registry_client_.write(claim, [this](const proxy::write_outcome& written) {
-            if (written.status == proxy::registry_status::done) {
-                finish_lock_claim({proxy::promotion_lock_result::acquired, written.revision, {}});
-            } else if (written.status == proxy::registry_status::conflict) {
-                finish_lock_claim({proxy::promotion_lock_result::held_by_other, 0, {}});
-            } else {
-                // The claim may still be executed; the follower then sees the lock's item.
-                log(core::log_event::level::warning, "duty_claim_unanswered", {});
+    registry_client_.grant(
+        proxy::grant_lease{action.duration}, [this](const proxy::lease_outcome& granted) {
+            if (granted.status != proxy::registry_status::done) {
+                finish_lock_claim(proxy::promotion_lock_answered{});
+                return;
             }
+            lock_claim_.on_granted(granted.lease);
+            const proxy::write_items claim{
+                {{std::string{internal::promotion_lock_key}, 0}},
+                {{std::string{internal::promotion_lock_key}, settings_.id.value, granted.lease}},
+                {}};
+            registry_client_.write(claim, [this](const proxy::write_outcome& written) {
+                if (written.status == proxy::registry_status::done) {
+                    finish_lock_claim(written.revision);
+                } else if (written.status == proxy::registry_status::conflict) {
+                    finish_lock_claim({proxy::promotion_lock_result::held_by_other, {}, {}});
+                } else {
+                    // The claim may still be executed; the follower then sees the lock's item.
+                    log(core::log_event::level::warning, "duty_claim_unanswered", {});
+                }
+            });
         });
-    });
+}
+
+void session_host::finish_lock_claim(proxy::registry_revision revision) {
+    const std::optional<proxy::promotion_token> token =
+        proxy::promotion_token::make(registry_eras_.current(), revision);
+    if (!token.has_value()) {
+        // The lock expires unused.
+        log_token_out_of_bounds(revision);
+        finish_lock_claim(proxy::promotion_lock_answered{});
+        return;
+    }
+    finish_lock_claim({proxy::promotion_lock_result::acquired, *token, {}});
+}
+
+void session_host::log_token_out_of_bounds(proxy::registry_revision revision) {
+    log(core::log_event::level::error, "duty_token_out_of_bounds",
+        {{"revision", std::to_string(revision)},
+         {"era", std::to_string(registry_eras_.current().value_or(0))}});
 }
 
 void session_host::finish_lock_claim(const proxy::promotion_lock_answered& result) {
@@ -618,7 +642,7 @@
     // The condition also holds back a write that the registry executes late, after another host has
     // acquired the lock.
     const proxy::write_items announcement{
-        {{std::string{internal::promotion_lock_key}, action.fencing_token}},
+        {{std::string{internal::promotion_lock_key}, action.fencing_token.lock_revision()}},
         {{std::string{internal::demotions_prefix} + demotion.service.value,
           std::to_string(demotion.term) + ' ' + demotion.target.value, 0}},
         {}};
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -7,6 +7,7 @@
 #include <lovagemoor/proxy/engine/session_engine.hpp>
 #include <lovagemoor/proxy/promotion/promotion_lock_claim.hpp>
 #include <lovagemoor/proxy/registry/lease_keeper.hpp>
+#include <lovagemoor/proxy/registry/registry_era_tracker.hpp>
 #include <lovagemoor/proxy/registry/registry_follower.hpp>
 #include <lovagemoor/settings/session_settings.hpp>
 #include <lovagemoor/telemetry/logger.hpp>
@@ -69,7 +70,11 @@
     void apply_demotions(const proxy::registry_follower::update& update);
     void apply_promotions(const proxy::registry_follower::update& update);
     void apply_promotion_lock(const proxy::item_change& change);
+    /// @brief Ends the pending claim of the promotion lock successfully.
+    /// @param revision Revision of the lock's item.
+    void finish_lock_claim(proxy::registry_revision revision);
     void finish_lock_claim(const proxy::promotion_lock_answered& result);
+    void log_token_out_of_bounds(proxy::registry_revision revision);
     void maintain_registration();
     void poll_registry();
     [[nodiscard]] gateway::http_server::response
@@ -103,6 +108,7 @@
     bool ready_ = false;
     std::optional<core::time_point> stop_requested_at_;
     proxy::promotion_lock_claim lock_claim_;
+    proxy::registry_era_tracker registry_eras_;
 };
 
 } // namespace lovagemoor
