Trust no promotion lock of an earlier era of the registry

When the registry comes back from an older copy, the lock's lease is gone and another host could acquire the lock while a holder that is cut off still trusts its lease. A host now gives up its lock and its pending claim once it learns of an era, and claims the lock only when a lease duration has passed since its first answer of the era: each lease of an earlier era began before that answer. A host that starts in a later era than the first one waits as well. No margin is added, as the margin at the end of a lease already separates the calls of two holders.

--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -166,7 +166,13 @@
     core::service_id service;
 };
 
-enum class promotion_lock_result : std::uint8_t { acquired, held_by_other, unknown };
+enum class promotion_lock_result : std::uint8_t {
+    acquired,
+    held_by_other,
+    /// The lock was not claimed, as a host may still hold one of an earlier era of the registry.
+    too_early,
+    unknown,
+};
 
 /// @brief Result of a request for the promotion lock.
 struct promotion_lock_answered {
@@ -174,6 +180,8 @@
     promotion_token fencing_token;
     /// Time for which this host still holds the lock.
     std::chrono::milliseconds valid_for{0};
+    /// Time after which the lock may be claimed, if it was too early.
+    std::chrono::milliseconds retry_after{0};
 };
 
 /// @brief Another host acquired the promotion lock.
--- a/packages/proxy/include/lovagemoor/proxy/promotion/failover_coordinator.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/promotion/failover_coordinator.hpp
@@ -195,6 +195,10 @@
     /// @brief The promotion lock of this or another host has ended.
     void on_promotion_lock_released(const promotion_lock_released& end);
 
+    /// @brief The registry has come back from an older copy. The lock and its lease are gone, and
+    /// another host may acquire it.
+    void on_registry_restored();
+
     void on_status(core::time_point now, const core::service_id& service,
                    const core::target_id& target, const target_status& status);
     void on_demotion_published(core::time_point now, const demotion_publish_answered& answer);
--- a/packages/proxy/include/lovagemoor/proxy/promotion/promotion_lock_claim.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/promotion/promotion_lock_claim.hpp
@@ -23,18 +23,40 @@
 /// @brief The claims that this process makes on the promotion lock. They are told apart from those
 /// of an earlier process of the same host by the lease that the registry granted for them: the
 /// lock's value is the host's id, which a restart keeps.
+///
+/// When the registry comes back from an older copy, its items and leases are gone, while a former
+/// holder that is cut off from it does not learn of that and trusts its lease until it expires. The
+/// lock is therefore claimed only once a lease duration has passed since the first answer of the
+/// era: every lease of an earlier era began before that answer. A host that has just started cannot
+/// know how long the era has lasted, so it waits as well, except in the first era.
 class promotion_lock_claim {
 public:
+    /// Tells the claims of this process apart.
+    using claim_number = std::uint64_t;
+
+    /// @brief Passes on the era of the registry's answers.
+    /// @return True if this ended a pending claim, as it was made in another era.
+    bool on_era(core::time_point now, const std::optional<registry_era>& era);
+
+    /// @param duration Duration of the leases with which hosts hold the lock.
+    /// @return Time for which a host may still hold a lock of an earlier era.
+    [[nodiscard]] std::chrono::milliseconds
+    time_until_claim(core::time_point now, std::chrono::milliseconds duration) const;
+
     /// @brief Starts a claim.
     /// @param duration Duration of the lease that the claim asks for.
-    void start(core::time_point now, std::chrono::milliseconds duration);
+    claim_number start(core::time_point now, std::chrono::milliseconds duration);
 
     /// @brief Stores the lease that was granted for the pending claim.
     void on_granted(lease_id lease);
 
-    /// @return True from the start of a claim until finish().
+    /// @return True from the start of a claim until finish() or the next era.
     [[nodiscard]] bool pending() const noexcept { return sent_at_.has_value(); }
 
+    [[nodiscard]] bool pending(claim_number number) const noexcept {
+        return pending() && number == newest_claim_;
+    }
+
     /// @return Who wrote the item, which is the lock's current one.
     [[nodiscard]] promotion_lock_owner owner_of(const registry_item& item,
                                                 const core::host_id& host) const;
@@ -51,6 +73,11 @@
     std::chrono::milliseconds duration_{0};
     /// Lease of the newest claim; 0 until it is granted.
     lease_id lease_ = 0;
+    claim_number newest_claim_ = 0;
+    /// Empty until the registry has named an era.
+    std::optional<registry_era> era_;
+    /// Time at which this process learned of the era.
+    core::time_point era_known_since_;
 };
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/src/engine/session_engine_promotion.cpp
+++ b/packages/proxy/src/engine/session_engine_promotion.cpp
@@ -344,6 +344,7 @@
     log(core::log_event::level::warning, "registry_restored",
         {{"previous_era", std::to_string(input.previous)}, {"era", std::to_string(input.current)}});
     count("lovagemoor_registry_era_changes_total", {});
+    failover_coordinator_.on_registry_restored();
 }
 
 void session_engine::apply_demotion(const primary_demotion& demotion) {
@@ -449,6 +450,7 @@
     log(core::log_event::level::info, "duty_claimed",
         {{"result", input.result == promotion_lock_result::acquired        ? "acquired"
                     : input.result == promotion_lock_result::held_by_other ? "held_by_other"
+                    : input.result == promotion_lock_result::too_early     ? "too_early"
                                                                            : "unknown"},
          {"fencing_token", std::to_string(input.fencing_token.value())}});
     failover_coordinator_.on_promotion_lock_answered(now_, input);
--- a/packages/proxy/src/promotion/failover_coordinator.cpp
+++ b/packages/proxy/src/promotion/failover_coordinator.cpp
@@ -349,7 +349,7 @@
 void failover_coordinator::on_promotion_lock_answered(core::time_point now,
                                                       const promotion_lock_answered& result) {
     lock_requested_ = false;
-    next_lock_request_ = now + settings_.lock_retry_pause;
+    next_lock_request_ = now + std::max(settings_.lock_retry_pause, result.retry_after);
     if (result.result == promotion_lock_result::acquired) {
         fencing_token_ = result.fencing_token;
         lock_held_until_ = now + result.valid_for;
@@ -372,6 +372,13 @@
     }
 }
 
+void failover_coordinator::on_registry_restored() {
+    fencing_token_.reset();
+    lock_requested_ = false;
+    lock_taken_until_ = {};
+    next_lock_request_ = {};
+}
+
 void failover_coordinator::on_status(core::time_point now, const core::service_id& service,
                                      const core::target_id& target, const target_status& status) {
     const auto found = attempts_.find(service);
--- a/packages/proxy/src/promotion/promotion_lock_claim.cpp
+++ b/packages/proxy/src/promotion/promotion_lock_claim.cpp
@@ -1,11 +1,39 @@
 #include <lovagemoor/proxy/promotion/promotion_lock_claim.hpp>
+#include <lovagemoor/proxy/promotion/promotion_token.hpp>
+
+#include <algorithm>
+#include <utility>
 
 namespace lovagemoor::proxy {
 
-void promotion_lock_claim::start(core::time_point now, std::chrono::milliseconds duration) {
+bool promotion_lock_claim::on_era(core::time_point now, const std::optional<registry_era>& era) {
+    if (era == era_) {
+        return false;
+    }
+    era_ = era;
+    era_known_since_ = now;
+    // The registry may grant the same lease again, to another host.
+    lease_ = 0;
+    return std::exchange(sent_at_, std::nullopt).has_value();
+}
+
+std::chrono::milliseconds
+promotion_lock_claim::time_until_claim(core::time_point now,
+                                       std::chrono::milliseconds duration) const {
+    if (!era_.has_value() || *era_ <= promotion_token::first_era) {
+        return std::chrono::milliseconds{0};
+    }
+    const core::duration left = era_known_since_ + duration - now;
+    return std::max(std::chrono::milliseconds{0},
+                    std::chrono::ceil<std::chrono::milliseconds>(left));
+}
+
+promotion_lock_claim::claim_number promotion_lock_claim::start(core::time_point now,
+                                                               std::chrono::milliseconds duration) {
     sent_at_ = now;
     duration_ = duration;
     lease_ = 0;
+    return ++newest_claim_;
 }
 
 void promotion_lock_claim::on_granted(lease_id lease) {
--- a/packages/proxy/test/promotion/failover_coordinator_test.cpp
+++ b/packages/proxy/test/promotion/failover_coordinator_test.cpp
@@ -155,6 +155,43 @@
     BOOST_TEST(!made.holds_promotion_lock(start + 1s));
 }
 
+// Guards against a holder that goes on with a lock that the registry has forgotten, while another
+// host may acquire it (ONE).
+BOOST_AUTO_TEST_CASE(a_lock_is_given_up_when_the_registry_comes_back) {
+    failover_coordinator made = inspecting(lost());
+    made.on_registry_restored();
+    BOOST_TEST(!made.holds_promotion_lock(start));
+    BOOST_TEST(made.advance(start, {lost()}).empty());
+    BOOST_TEST(!made.promoting(service));
+    BOOST_TEST(only<request_promotion_lock>(made.advance(start, {lost()})).has_value());
+}
+
+// Guards against waiting for the answer to a claim that ended with its era.
+BOOST_AUTO_TEST_CASE(a_claim_is_repeated_when_the_registry_comes_back) {
+    failover_coordinator made{failover_settings{}};
+    BOOST_REQUIRE(only<request_promotion_lock>(made.advance(start, {lost()})).has_value());
+    made.on_registry_restored();
+    BOOST_TEST(!made.requests_or_holds_promotion_lock(start));
+    BOOST_TEST(only<request_promotion_lock>(made.advance(start, {lost()})).has_value());
+}
+
+// Guards against waiting for the end of a lock that the registry has forgotten.
+BOOST_AUTO_TEST_CASE(a_lock_of_another_host_ends_when_the_registry_comes_back) {
+    failover_coordinator made{failover_settings{}};
+    made.on_promotion_lock_taken(start, promotion_lock_taken{promotion_token{9}});
+    made.on_registry_restored();
+    BOOST_TEST(only<request_promotion_lock>(made.advance(start, {lost()})).has_value());
+}
+
+// Guards against a claim before the leases of an earlier era have ended, and against useless ones.
+BOOST_AUTO_TEST_CASE(a_claim_that_is_too_early_is_repeated_in_time) {
+    failover_coordinator made{failover_settings{}};
+    BOOST_REQUIRE(only<request_promotion_lock>(made.advance(start, {lost()})).has_value());
+    made.on_promotion_lock_answered(start, {promotion_lock_result::too_early, {}, 0ms, 2000ms});
+    BOOST_TEST(made.advance(start + 1999ms, {lost()}).empty());
+    BOOST_TEST(only<request_promotion_lock>(made.advance(start + 2000ms, {lost()})).has_value());
+}
+
 // Guards against losing commits that another replica has.
 BOOST_DATA_TEST_CASE(promotes_the_most_complete_replica, boost::unit_test::data::make(choices),
                      sample) {
--- a/packages/proxy/test/promotion/promotion_lock_claim_test.cpp
+++ b/packages/proxy/test/promotion/promotion_lock_claim_test.cpp
@@ -5,8 +5,10 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <optional>
 #include <ostream>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lovagemoor::proxy {
@@ -44,8 +46,67 @@
     {"no lease, not granted", claim_progress::sent, "a", 0, promotion_lock_owner::other},
 };
 
+struct wait_case {
+    const char* name;
+    /// Era and time of each answer.
+    std::vector<std::pair<std::optional<registry_era>, core::duration>> answers;
+    core::duration claimed_after;
+    std::chrono::milliseconds wait;
+
+    friend std::ostream& operator<<(std::ostream& output, const wait_case& sample) {
+        return output << sample.name;
+    }
+};
+
+const std::vector<wait_case> wait_cases{
+    {"a registry without eras", {{std::nullopt, 0ms}}, 0ms, 0ms},
+    {"the first era", {{1, 0ms}}, 0ms, 0ms},
+    {"a host that has just started", {{3, 0ms}}, 0ms, 3000ms},
+    {"a host that has started", {{3, 0ms}}, 2000ms, 1000ms},
+    {"a part of a millisecond is left", {{3, 0ms}}, std::chrono::microseconds{2'999'001}, 1ms},
+    {"a lease duration has passed", {{3, 0ms}}, 3000ms, 0ms},
+    {"further answers of the era", {{3, 0ms}, {3, 2000ms}}, 3000ms, 0ms},
+    {"the next era", {{1, 0ms}, {2, 2000ms}}, 3000ms, 2000ms},
+    {"two eras in succession", {{1, 0ms}, {2, 1000ms}, {3, 2000ms}}, 4000ms, 1000ms},
+};
+
 } // namespace
 
+// Guards against a claim within the lease of a host that is cut off and does not know that the
+// registry has forgotten its lock (ONE), and against waiting where no such host can exist.
+BOOST_DATA_TEST_CASE(a_claim_waits_for_the_leases_of_earlier_eras,
+                     boost::unit_test::data::make(wait_cases), sample) {
+    promotion_lock_claim claim;
+    for (const auto& [era, after] : sample.answers) {
+        claim.on_era(start + after, era);
+    }
+    BOOST_TEST((claim.time_until_claim(start + sample.claimed_after, 3000ms) == sample.wait));
+}
+
+// Guards against a host that takes an item for its own because a later era has granted the lease of
+// its claim again.
+BOOST_AUTO_TEST_CASE(a_claim_ends_with_its_era) {
+    promotion_lock_claim claim;
+    claim.on_era(start, 1);
+    const promotion_lock_claim::claim_number number = claim.start(start, 3000ms);
+    claim.on_granted(claimed_lease);
+    BOOST_TEST(!claim.on_era(start, 1));
+    BOOST_TEST(claim.pending(number));
+    BOOST_TEST(claim.on_era(start, 2));
+    BOOST_TEST(!claim.pending(number));
+    const registry_item item{"lovagemoor/promotion/duty", "a", 7, claimed_lease};
+    BOOST_TEST((claim.owner_of(item, core::host_id{"a"}) == promotion_lock_owner::other));
+}
+
+// Guards against late answers to a claim that are taken for those of the next one.
+BOOST_AUTO_TEST_CASE(the_number_tells_claims_of_a_process_apart) {
+    promotion_lock_claim claim;
+    const promotion_lock_claim::claim_number first = claim.start(start, 3000ms);
+    const promotion_lock_claim::claim_number second = claim.start(start, 3000ms);
+    BOOST_TEST(!claim.pending(first));
+    BOOST_TEST(claim.pending(second));
+}
+
 // Guards against a restarted host that takes the lock of its earlier process for its own: it would
 // count a full lease from its own claim, although the earlier lease ends sooner, and two hosts
 // could then hold the lock (ONE).
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -263,6 +263,7 @@
 }
 
 void session_host::poll_registry() {
+    update_lock_era();
     maintain_registration();
     run_follower(configuration_follower_);
     run_follower(targets_follower_);
@@ -550,6 +551,7 @@
 }
 
 void session_host::apply_promotion_lock(const proxy::item_change& change) {
+    update_lock_era();
     const std::optional<proxy::promotion_token> token =
         proxy::promotion_token::make(registry_eras_.current(), change.item.revision);
     if (!token.has_value()) {
@@ -584,32 +586,75 @@
     run_follower(promotion_follower_);
 }
 
+bool session_host::accept_answer(const std::optional<proxy::registry_era>& era) {
+    using assignment = proxy::registry_era_tracker::assignment;
+    const std::optional<proxy::registry_era> previous = registry_eras_.current();
+    const assignment assigned = registry_eras_.assign(era);
+    update_lock_era();
+    if (assigned == assignment::newer) {
+        handle(proxy::registry_restored{*previous, *registry_eras_.current()});
+    }
+    return assigned != assignment::outdated;
+}
+
+void session_host::update_lock_era() {
+    if (lock_claim_.on_era(internal::now(), registry_eras_.current())) {
+        handle(proxy::promotion_lock_answered{});
+    }
+}
+
 void session_host::perform(const proxy::acquire_promotion_lock& action) {
-    lock_claim_.start(internal::now(), action.duration);
+    lock_claim_.on_era(internal::now(), registry_eras_.current());
+    const std::chrono::milliseconds wait =
+        lock_claim_.time_until_claim(internal::now(), action.duration);
+    if (wait.count() > 0) {
+        handle(
+            proxy::promotion_lock_answered{proxy::promotion_lock_result::too_early, {}, {}, wait});
+        return;
+    }
+    const proxy::promotion_lock_claim::claim_number number =
+        lock_claim_.start(internal::now(), action.duration);
     registry_client_.grant(
-        proxy::grant_lease{action.duration}, [this](const proxy::lease_outcome& granted) {
-            if (granted.status != proxy::registry_status::done) {
+        proxy::grant_lease{action.duration}, [this, number](const proxy::lease_outcome& granted) {
+            const bool accepted =
+                granted.status == proxy::registry_status::unknown || accept_answer(granted.era);
+            if (!lock_claim_.pending(number)) {
+                return;
+            }
+            if (!accepted || granted.status != proxy::registry_status::done) {
                 finish_lock_claim(proxy::promotion_lock_answered{});
                 return;
             }
             lock_claim_.on_granted(granted.lease);
-            const proxy::write_items claim{
-                {{std::string{internal::promotion_lock_key}, 0}},
-                {{std::string{internal::promotion_lock_key}, settings_.id.value, granted.lease}},
-                {}};
-            registry_client_.write(claim, [this](const proxy::write_outcome& written) {
-                if (written.status == proxy::registry_status::done) {
-                    finish_lock_claim(written.revision);
-                } else if (written.status == proxy::registry_status::conflict) {
-                    finish_lock_claim({proxy::promotion_lock_result::held_by_other, {}, {}});
-                } else {
-                    // The claim may still be executed; the follower then sees the lock's item.
-                    log(core::log_event::level::warning, "duty_claim_unanswered", {});
-                }
-            });
+            write_lock_claim(number, granted.lease);
         });
 }
 
+void session_host::write_lock_claim(proxy::promotion_lock_claim::claim_number number,
+                                    proxy::lease_id lease) {
+    const proxy::write_items claim{
+        {{std::string{internal::promotion_lock_key}, 0}},
+        {{std::string{internal::promotion_lock_key}, settings_.id.value, lease}},
+        {}};
+    registry_client_.write(claim, [this, number](const proxy::write_outcome& written) {
+        using status = proxy::registry_status;
+        const bool accepted = written.status == status::unknown || accept_answer(written.era);
+        if (!lock_claim_.pending(number)) {
+            return;
+        }
+        if (accepted && written.status == status::done) {
+            finish_lock_claim(written.revision);
+        } else if (accepted && written.status == status::conflict) {
+            finish_lock_claim({proxy::promotion_lock_result::held_by_other, {}, {}});
+        } else if (accepted && written.status == status::lease_ended) {
+            finish_lock_claim(proxy::promotion_lock_answered{});
+        } else {
+            // The claim may still be executed; the follower then sees the lock's item.
+            log(core::log_event::level::warning, "duty_claim_unanswered", {});
+        }
+    });
+}
+
 void session_host::finish_lock_claim(proxy::registry_revision revision) {
     const std::optional<proxy::promotion_token> token =
         proxy::promotion_token::make(registry_eras_.current(), revision);
@@ -647,7 +692,9 @@
           std::to_string(demotion.term) + ' ' + demotion.target.value, 0}},
         {}};
     registry_client_.write(announcement, [this, demotion](const proxy::write_outcome& outcome) {
-        const bool published = outcome.status == proxy::registry_status::done;
+        const bool accepted =
+            outcome.status != proxy::registry_status::unknown && accept_answer(outcome.era);
+        const bool published = accepted && outcome.status == proxy::registry_status::done;
         if (!published) {
             log(core::log_event::level::warning, "demotion_not_published",
                 {{"service", demotion.service.value}});
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -40,6 +40,7 @@
     void handle(const proxy::event& input);
     void perform(const proxy::follow_promotions& action);
     void perform(const proxy::acquire_promotion_lock& action);
+    void write_lock_claim(proxy::promotion_lock_claim::claim_number number, proxy::lease_id lease);
     void perform(const proxy::publish_demotion& action);
     void perform(const proxy::list_demotions& action);
     void perform(const proxy::contact_registry& action);
@@ -53,6 +54,10 @@
     void wait_for_signals();
     void reload();
 
+    /// @brief Assigns an answer of the registry to an era.
+    /// @return False if the answer must be ignored.
+    bool accept_answer(const std::optional<proxy::registry_era>& era);
+    void update_lock_era();
     void run_follower(const std::shared_ptr<proxy::registry_follower>& follower);
     /// @return The followers that watch changes. Pointers to null where none is active.
     [[nodiscard]] std::array<std::shared_ptr<proxy::registry_follower>*, 4> watching_followers();
