Require the era of the lock in announced demotions

An announcement required only the revision of the lock's item. A later era may give that revision to the lock of another host, so that an announcement which the registry executes seconds late would be published under that lock. The lock is now written together with a key that names the era, outside of the prefix that hosts follow, and an announcement requires both.

--- a/packages/proxy/include/lovagemoor/proxy/promotion/promotion_lock_claim.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/promotion/promotion_lock_claim.hpp
@@ -2,14 +2,30 @@
 
 #include <lovagemoor/core/ids.hpp>
 #include <lovagemoor/core/time.hpp>
+#include <lovagemoor/proxy/promotion/promotion_token.hpp>
 #include <lovagemoor/proxy/registry/registry_call.hpp>
 
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string_view>
+#include <vector>
 
 namespace lovagemoor::proxy {
 
+/// Key of the promotion lock. The value is the host that may promote; the item's revision and the
+/// era of the registry give its fencing token (promotion_token).
+inline constexpr std::string_view promotion_lock_key = "lovagemoor/promotion/duty";
+
+/// Prefix of the keys that are written with the lock. The era follows; the value is that of the
+/// lock. Not below the prefix of the promotion keys, whose changes wake the hosts that follow them.
+inline constexpr std::string_view promotion_claims_prefix = "lovagemoor/promotion-claims/";
+
+/// @return Conditions of a write that requires the lock with this token. The condition on the lock
+/// alone does not suffice: a later era may give its revision to the lock of another host, and the
+/// registry may execute a write seconds late.
+[[nodiscard]] std::vector<expected_revision> lock_conditions(const promotion_token& token);
+
 /// @brief Whose process wrote an item of the promotion lock.
 enum class promotion_lock_owner : std::uint8_t {
     /// Another host, or an earlier process of this host.
@@ -57,6 +73,9 @@
         return pending() && number == newest_claim_;
     }
 
+    /// @return The write that acquires the lock for the host.
+    [[nodiscard]] write_items claim_of(const core::host_id& host) const;
+
     /// @return Who wrote the item, which is the lock's current one.
     [[nodiscard]] promotion_lock_owner owner_of(const registry_item& item,
                                                 const core::host_id& host) const;
--- a/packages/proxy/include/lovagemoor/proxy/promotion/promotion_token.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/promotion/promotion_token.hpp
@@ -2,6 +2,7 @@
 
 #include <lovagemoor/proxy/registry/registry_call.hpp>
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -28,6 +29,12 @@
     explicit constexpr promotion_token(registry_revision lock_revision) noexcept
         : lock_revision_{lock_revision} {}
 
+    /// @return The number of the era that tokens count, which is the first one if none is named.
+    [[nodiscard]] static constexpr registry_era
+    counted_era(const std::optional<registry_era>& era) noexcept {
+        return std::max(era.value_or(first_era), first_era);
+    }
+
     /// @return Empty if the token would not be greater than all those of earlier eras, or not less
     /// than all those of later ones.
     [[nodiscard]] static constexpr std::optional<promotion_token>
@@ -37,7 +44,7 @@
             if (lock_revision >= revisions_per_era || *era > last_era) {
                 return std::nullopt;
             }
-            token.earlier_eras_ = *era > first_era ? *era - first_era : 0;
+            token.earlier_eras_ = counted_era(era) - first_era;
         }
         return token;
     }
@@ -47,6 +54,8 @@
         return earlier_eras_ * revisions_per_era + lock_revision_;
     }
 
+    [[nodiscard]] constexpr registry_era era() const noexcept { return earlier_eras_ + first_era; }
+
     /// @return Revision of the lock's item, the condition of writes that require the lock.
     [[nodiscard]] constexpr registry_revision lock_revision() const noexcept {
         return lock_revision_;
--- a/packages/proxy/src/promotion/promotion_lock_claim.cpp
+++ b/packages/proxy/src/promotion/promotion_lock_claim.cpp
@@ -1,11 +1,29 @@
 #include <lovagemoor/proxy/promotion/promotion_lock_claim.hpp>
-#include <lovagemoor/proxy/promotion/promotion_token.hpp>
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace lovagemoor::proxy {
 
+namespace internal {
+
+namespace {
+
+/// @return Key that is written with the lock in the era.
+std::string claims_key(registry_era era) {
+    return std::string{promotion_claims_prefix} + std::to_string(era);
+}
+
+} // namespace
+
+} // namespace internal
+
+std::vector<expected_revision> lock_conditions(const promotion_token& token) {
+    return {{std::string{promotion_lock_key}, token.lock_revision()},
+            {internal::claims_key(token.era()), token.lock_revision()}};
+}
+
 bool promotion_lock_claim::on_era(core::time_point now, const std::optional<registry_era>& era) {
     if (era == era_) {
         return false;
@@ -40,6 +58,14 @@
     lease_ = lease;
 }
 
+write_items promotion_lock_claim::claim_of(const core::host_id& host) const {
+    const std::string claims_key = internal::claims_key(promotion_token::counted_era(era_));
+    return {
+        {{std::string{promotion_lock_key}, 0}},
+        {{std::string{promotion_lock_key}, host.value, lease_}, {claims_key, host.value, lease_}},
+        {}};
+}
+
 promotion_lock_owner promotion_lock_claim::owner_of(const registry_item& item,
                                                     const core::host_id& host) const {
     if (item.value != host.value || lease_ == 0 || item.lease != lease_) {
--- a/packages/proxy/test/promotion/promotion_lock_claim_test.cpp
+++ b/packages/proxy/test/promotion/promotion_lock_claim_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <ostream>
@@ -98,6 +99,32 @@
     BOOST_TEST((claim.owner_of(item, core::host_id{"a"}) == promotion_lock_owner::other));
 }
 
+// Guards against a demotion that a former holder announced and that the registry executes late,
+// when a later era has given the revision of its lock to the lock of another host.
+BOOST_AUTO_TEST_CASE(a_write_that_requires_the_lock_fails_in_another_era) {
+    const auto holds = [](const write_items& claim, const promotion_token& token) {
+        const std::vector<expected_revision> conditions = lock_conditions(token);
+        return std::all_of(conditions.begin(), conditions.end(), [&](const auto& condition) {
+            return condition.revision == token.lock_revision() &&
+                   std::any_of(claim.writes.begin(), claim.writes.end(),
+                               [&](const item_write& write) { return write.key == condition.key; });
+        });
+    };
+    promotion_lock_claim claim;
+    claim.start(start, 3000ms);
+    claim.on_granted(claimed_lease);
+    BOOST_TEST(holds(claim.claim_of(core::host_id{"a"}), promotion_token{7}));
+    claim.on_era(start, 2);
+    claim.start(start, 3000ms);
+    claim.on_granted(claimed_lease);
+    const write_items later = claim.claim_of(core::host_id{"a"});
+    BOOST_TEST(holds(later, *promotion_token::make(2, 7)));
+    BOOST_TEST(!holds(later, *promotion_token::make(1, 7)));
+    for (const item_write& write : later.writes) {
+        BOOST_TEST(write.lease == claimed_lease);
+    }
+}
+
 // Guards against late answers to a claim that are taken for those of the next one.
 BOOST_AUTO_TEST_CASE(the_number_tells_claims_of_a_process_apart) {
     promotion_lock_claim claim;
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -28,9 +28,6 @@
 /// Prefix of reports that a primary is suspected. The service and the reporting host follow; the
 /// value is the suspected target.
 constexpr std::string_view suspicions_prefix = "lovagemoor/promotion/suspicions/";
-/// Key of the promotion lock. The value is the host that may promote; the item's revision and the
-/// era of the registry give its fencing token (promotion_token).
-constexpr std::string_view promotion_lock_key = "lovagemoor/promotion/duty";
 /// @}
 
 /// Lease duration of a host's registration. The registration of a host that crashed ends after this
@@ -527,7 +524,7 @@
     proxy::suspicions_listed listed;
     for (const proxy::item_change& change : update.changes) {
         const std::string& key = change.item.key;
-        if (key == internal::promotion_lock_key) {
+        if (key == proxy::promotion_lock_key) {
             apply_promotion_lock(change);
         }
         if (!key.starts_with(internal::suspicions_prefix)) {
@@ -626,16 +623,12 @@
                 return;
             }
             lock_claim_.on_granted(granted.lease);
-            write_lock_claim(number, granted.lease);
+            write_lock_claim(number);
         });
 }
 
-void session_host::write_lock_claim(proxy::promotion_lock_claim::claim_number number,
-                                    proxy::lease_id lease) {
-    const proxy::write_items claim{
-        {{std::string{internal::promotion_lock_key}, 0}},
-        {{std::string{internal::promotion_lock_key}, settings_.id.value, lease}},
-        {}};
+void session_host::write_lock_claim(proxy::promotion_lock_claim::claim_number number) {
+    const proxy::write_items claim = lock_claim_.claim_of(settings_.id);
     registry_client_.write(claim, [this, number](const proxy::write_outcome& written) {
         using status = proxy::registry_status;
         const bool accepted = written.status == status::unknown || accept_answer(written.era);
@@ -684,10 +677,10 @@
 
 void session_host::perform(const proxy::publish_demotion& action) {
     const proxy::primary_demotion& demotion = action.demotion;
-    // The condition also holds back a write that the registry executes late, after another host has
+    // The conditions also hold back a write that the registry executes late, after another host has
     // acquired the lock.
     const proxy::write_items announcement{
-        {{std::string{internal::promotion_lock_key}, action.fencing_token.lock_revision()}},
+        proxy::lock_conditions(action.fencing_token),
         {{std::string{internal::demotions_prefix} + demotion.service.value,
           std::to_string(demotion.term) + ' ' + demotion.target.value, 0}},
         {}};
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -40,7 +40,7 @@
     void handle(const proxy::event& input);
     void perform(const proxy::follow_promotions& action);
     void perform(const proxy::acquire_promotion_lock& action);
-    void write_lock_claim(proxy::promotion_lock_claim::claim_number number, proxy::lease_id lease);
+    void write_lock_claim(proxy::promotion_lock_claim::claim_number number);
     void perform(const proxy::publish_demotion& action);
     void perform(const proxy::list_demotions& action);
     void perform(const proxy::contact_registry& action);
