Replace a promotion lock that nobody can hold any more

A claim whose write the registry executes after it has come back from an older copy may depend on a lease that has been granted again, such as that of another host's registration. The lock's item then stays as long as that lease, and no host could promote. A claim now replaces an item that the host has seen for a whole lease duration: locks are never renewed, so nobody holds it any more.

--- a/packages/proxy/include/lovagemoor/proxy/promotion/promotion_lock_claim.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/promotion/promotion_lock_claim.hpp
@@ -73,8 +73,17 @@
         return pending() && number == newest_claim_;
     }
 
-    /// @return The write that acquires the lock for the host.
-    [[nodiscard]] write_items claim_of(const core::host_id& host) const;
+    /// @brief The lock's item exists with this revision.
+    void on_lock_seen(core::time_point now, registry_revision revision);
+
+    /// @brief The lock's item does not exist, or is not known any more.
+    void on_lock_unknown() noexcept { seen_lock_.reset(); }
+
+    /// @return The write that acquires the lock for the host. It replaces an item that was seen a
+    /// lease duration ago: nobody holds a lock for longer, but the item may stay. The registry may
+    /// execute a claim of an earlier era late, with a lease that it has granted again for something
+    /// else.
+    [[nodiscard]] write_items claim_of(core::time_point now, const core::host_id& host) const;
 
     /// @return Who wrote the item, which is the lock's current one.
     [[nodiscard]] promotion_lock_owner owner_of(const registry_item& item,
@@ -93,6 +102,14 @@
     /// Lease of the newest claim; 0 until it is granted.
     lease_id lease_ = 0;
     claim_number newest_claim_ = 0;
+
+    struct seen_lock {
+        registry_revision revision = 0;
+        /// Time at which the revision was first seen.
+        core::time_point at;
+    };
+
+    std::optional<seen_lock> seen_lock_;
     /// Empty until the registry has named an era.
     std::optional<registry_era> era_;
     /// Time at which this process learned of the era.
--- a/packages/proxy/src/promotion/promotion_lock_claim.cpp
+++ b/packages/proxy/src/promotion/promotion_lock_claim.cpp
@@ -32,6 +32,7 @@
     era_known_since_ = now;
     // The registry may grant the same lease again, to another host.
     lease_ = 0;
+    seen_lock_.reset();
     return std::exchange(sent_at_, std::nullopt).has_value();
 }
 
@@ -58,10 +59,17 @@
     lease_ = lease;
 }
 
-write_items promotion_lock_claim::claim_of(const core::host_id& host) const {
+void promotion_lock_claim::on_lock_seen(core::time_point now, registry_revision revision) {
+    if (!seen_lock_.has_value() || seen_lock_->revision != revision) {
+        seen_lock_ = {revision, now};
+    }
+}
+
+write_items promotion_lock_claim::claim_of(core::time_point now, const core::host_id& host) const {
+    const bool overdue = seen_lock_.has_value() && now - seen_lock_->at >= duration_;
     const std::string claims_key = internal::claims_key(promotion_token::counted_era(era_));
     return {
-        {{std::string{promotion_lock_key}, 0}},
+        {{std::string{promotion_lock_key}, overdue ? seen_lock_->revision : 0}},
         {{std::string{promotion_lock_key}, host.value, lease_}, {claims_key, host.value, lease_}},
         {}};
 }
--- a/packages/proxy/test/promotion/promotion_lock_claim_test.cpp
+++ b/packages/proxy/test/promotion/promotion_lock_claim_test.cpp
@@ -71,8 +71,53 @@
     {"two eras in succession", {{1, 0ms}, {2, 1000ms}, {3, 2000ms}}, 4000ms, 1000ms},
 };
 
+struct overdue_case {
+    const char* name;
+    /// Revisions of the lock's item and the times at which they are seen. 0 for none.
+    std::vector<std::pair<registry_revision, core::duration>> seen;
+    std::optional<registry_era> later_era;
+    registry_revision replaced;
+
+    friend std::ostream& operator<<(std::ostream& output, const overdue_case& sample) {
+        return output << sample.name;
+    }
+};
+
+/// The claim is made 4 s after the start.
+const std::vector<overdue_case> overdue_cases{
+    {"no lock", {}, std::nullopt, 0},
+    {"a lock seen for a lease duration", {{7, 1000ms}}, std::nullopt, 7},
+    {"a lock seen for less", {{7, 1001ms}}, std::nullopt, 0},
+    {"a lock seen again", {{7, 1000ms}, {7, 3000ms}}, std::nullopt, 7},
+    {"another lock since", {{7, 0ms}, {8, 3000ms}}, std::nullopt, 0},
+    {"a lock that has ended", {{7, 0ms}, {0, 3000ms}}, std::nullopt, 0},
+    {"a lock of an earlier era", {{7, 0ms}}, 2, 0},
+};
+
 } // namespace
 
+// Guards against a lock that nobody can acquire, as its item depends on a lease that the registry
+// has granted again for something else, and against replacing a lock that is held.
+BOOST_DATA_TEST_CASE(an_overdue_lock_is_replaced, boost::unit_test::data::make(overdue_cases),
+                     sample) {
+    promotion_lock_claim claim;
+    claim.on_era(start, 1);
+    for (const auto& [revision, after] : sample.seen) {
+        if (revision == 0) {
+            claim.on_lock_unknown();
+        } else {
+            claim.on_lock_seen(start + after, revision);
+        }
+    }
+    if (sample.later_era.has_value()) {
+        claim.on_era(start + 3500ms, sample.later_era);
+    }
+    claim.start(start + 4000ms, 3000ms);
+    const write_items made = claim.claim_of(start + 4000ms, core::host_id{"a"});
+    BOOST_REQUIRE(made.expected.size() == 1U);
+    BOOST_TEST(made.expected.front().revision == sample.replaced);
+}
+
 // Guards against a claim within the lease of a host that is cut off and does not know that the
 // registry has forgotten its lock (ONE), and against waiting where no such host can exist.
 BOOST_DATA_TEST_CASE(a_claim_waits_for_the_leases_of_earlier_eras,
@@ -113,11 +158,11 @@
     promotion_lock_claim claim;
     claim.start(start, 3000ms);
     claim.on_granted(claimed_lease);
-    BOOST_TEST(holds(claim.claim_of(core::host_id{"a"}), promotion_token{7}));
+    BOOST_TEST(holds(claim.claim_of(start, core::host_id{"a"}), promotion_token{7}));
     claim.on_era(start, 2);
     claim.start(start, 3000ms);
     claim.on_granted(claimed_lease);
-    const write_items later = claim.claim_of(core::host_id{"a"});
+    const write_items later = claim.claim_of(start, core::host_id{"a"});
     BOOST_TEST(holds(later, *promotion_token::make(2, 7)));
     BOOST_TEST(!holds(later, *promotion_token::make(1, 7)));
     for (const item_write& write : later.writes) {
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -4,6 +4,7 @@
 #include <lovagemoor/platform_adapter/registry_documents.hpp>
 #include <lovagemoor/platform_adapter/statement_protocol.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <csignal>
 #include <ctime>
@@ -522,6 +523,13 @@
 
 void session_host::apply_promotions(const proxy::registry_follower::update& update) {
     proxy::suspicions_listed listed;
+    const auto concerns_lock = [](const proxy::item_change& change) {
+        return change.item.key == proxy::promotion_lock_key;
+    };
+    if (update.complete &&
+        std::none_of(update.changes.begin(), update.changes.end(), concerns_lock)) {
+        lock_claim_.on_lock_unknown();
+    }
     for (const proxy::item_change& change : update.changes) {
         const std::string& key = change.item.key;
         if (key == proxy::promotion_lock_key) {
@@ -556,9 +564,11 @@
         return;
     }
     if (change.removed) {
+        lock_claim_.on_lock_unknown();
         handle(proxy::promotion_lock_released{*token});
         return;
     }
+    lock_claim_.on_lock_seen(internal::now(), change.item.revision);
     switch (lock_claim_.owner_of(change.item, settings_.id)) {
     case proxy::promotion_lock_owner::other:
         handle(proxy::promotion_lock_taken{*token});
@@ -575,6 +585,7 @@
 void session_host::perform(const proxy::follow_promotions& action) {
     if (!action.active) {
         promotion_follower_.reset();
+        lock_claim_.on_lock_unknown();
         return;
     }
     promotion_follower_ = internal::make_follower(
@@ -628,7 +639,7 @@
 }
 
 void session_host::write_lock_claim(proxy::promotion_lock_claim::claim_number number) {
-    const proxy::write_items claim = lock_claim_.claim_of(settings_.id);
+    const proxy::write_items claim = lock_claim_.claim_of(internal::now(), settings_.id);
     registry_client_.write(claim, [this, number](const proxy::write_outcome& written) {
         using status = proxy::registry_status;
         const bool accepted = written.status == status::unknown || accept_answer(written.era);
