--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -607,6 +607,26 @@
     BOOST_TEST(calls.front().fencing_token.value() == 7U);
 }
 
+// Guards against a failover that goes on under a lock that the registry has forgotten (ONE).
+BOOST_AUTO_TEST_CASE(a_failover_ends_when_the_registry_comes_back) {
+    fake_cluster cluster = started();
+    cluster.send(cluster.open("latest"), kind::write, "x");
+    cluster.run_for(100ms);
+    cluster.targets.at(t0).reachable = false;
+    cluster.run_for(1s);
+    for (const char* const host : {"host-2", "host-3"}) {
+        cluster.apply(suspicion_reported{{core::service_id{"s"}, t0, core::host_id{host}}});
+    }
+    cluster.run_for(1s);
+    BOOST_TEST(cluster.performed<acquire_promotion_lock>().size() == 1U);
+    cluster.apply(
+        promotion_lock_answered{promotion_lock_result::acquired, promotion_token{7}, 3000ms});
+    cluster.apply(registry_restored{1, 2});
+    cluster.run_for(2s);
+    BOOST_TEST(cluster.performed<promote_target>().empty());
+    BOOST_TEST(cluster.performed<acquire_promotion_lock>().size() == 2U);
+}
+
 // Guards against a delayed failover. Two services waited 6 s for a primary: the holder of the
 // promotion lock had not reported the loss itself, and the reporting hosts could not acquire the
 // lock (found on halgeld-pool-grown).
