Merge the followers and the promotion lock across returns of the registry

The registry client's filter assigns each answer to an era once, so that the lock's functions need no check of their own; a new era ends a pending claim before the engine hears of it.

--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -5,6 +5,7 @@
 #include <lovagemoor/platform_adapter/statement_protocol.hpp>
 #include <lovagemoor/proxy/registry/restoration_delay.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <csignal>
 #include <ctime>
@@ -29,9 +30,6 @@
 /// Prefix of reports that a primary is suspected. The service and the reporting host follow; the
 /// value is the suspected target.
 constexpr std::string_view suspicions_prefix = "lovagemoor/promotion/suspicions/";
-/// Key of the promotion lock. The value is the host that may promote; the item's revision is its
-/// fencing token.
-constexpr std::string_view promotion_lock_key = "lovagemoor/promotion/duty";
 /// @}
 
 /// Lease duration of a host's registration. The registration of a host that crashed ends after this
@@ -266,6 +264,7 @@
 }
 
 void session_host::poll_registry() {
+    update_lock_era();
     maintain_registration();
     run_follower(configuration_follower_);
     run_follower(targets_follower_);
@@ -287,7 +286,9 @@
 
 bool session_host::accept_answer(const std::optional<proxy::registry_era>& era) {
     const std::optional<proxy::registry_era> previous = registry_eras_.current();
-    switch (registry_eras_.assign(era)) {
+    const proxy::registry_era_tracker::assignment assigned = registry_eras_.assign(era);
+    update_lock_era();
+    switch (assigned) {
     case proxy::registry_era_tracker::assignment::current:
         return true;
     case proxy::registry_era_tracker::assignment::newer:
@@ -604,9 +605,16 @@
 
 void session_host::apply_promotions(const proxy::registry_follower::update& update) {
     proxy::suspicions_listed listed;
+    const auto concerns_lock = [](const proxy::item_change& change) {
+        return change.item.key == proxy::promotion_lock_key;
+    };
+    if (update.complete &&
+        std::none_of(update.changes.begin(), update.changes.end(), concerns_lock)) {
+        lock_claim_.on_lock_unknown();
+    }
     for (const proxy::item_change& change : update.changes) {
         const std::string& key = change.item.key;
-        if (key == internal::promotion_lock_key) {
+        if (key == proxy::promotion_lock_key) {
             apply_promotion_lock(change);
         }
         if (!key.starts_with(internal::suspicions_prefix)) {
@@ -630,17 +638,26 @@
 }
 
 void session_host::apply_promotion_lock(const proxy::item_change& change) {
+    update_lock_era();
+    const std::optional<proxy::promotion_token> token =
+        proxy::promotion_token::make(registry_eras_.current(), change.item.revision);
+    if (!token.has_value()) {
+        log_token_out_of_bounds(change.item.revision);
+        return;
+    }
     if (change.removed) {
-        handle(proxy::promotion_lock_released{change.item.revision});
+        lock_claim_.on_lock_unknown();
+        handle(proxy::promotion_lock_released{*token});
         return;
     }
+    lock_claim_.on_lock_seen(internal::now(), change.item.revision);
     switch (lock_claim_.owner_of(change.item, settings_.id)) {
     case proxy::promotion_lock_owner::other:
-        handle(proxy::promotion_lock_taken{change.item.revision});
+        handle(proxy::promotion_lock_taken{*token});
         break;
     case proxy::promotion_lock_owner::pending_claim:
         // The lock was claimed, but the response to the claim was lost.
-        finish_lock_claim({proxy::promotion_lock_result::acquired, change.item.revision, {}});
+        finish_lock_claim(change.item.revision);
         break;
     case proxy::promotion_lock_owner::known_claim:
         break;
@@ -650,6 +667,7 @@
 void session_host::perform(const proxy::follow_promotions& action) {
     if (!action.active) {
         promotion_follower_.reset();
+        lock_claim_.on_lock_unknown();
         return;
     }
     promotion_follower_ = internal::make_follower(
@@ -658,32 +676,75 @@
     run_follower(promotion_follower_);
 }
 
+void session_host::update_lock_era() {
+    if (lock_claim_.on_era(internal::now(), registry_eras_.current())) {
+        handle(proxy::promotion_lock_answered{});
+    }
+}
+
 void session_host::perform(const proxy::acquire_promotion_lock& action) {
-    lock_claim_.start(internal::now(), action.duration);
-    registry_client_.grant(proxy::grant_lease{action.duration}, [this](const proxy::lease_outcome&
-                                                                           granted) {
-        if (granted.status != proxy::registry_status::done) {
-            finish_lock_claim({});
+    lock_claim_.on_era(internal::now(), registry_eras_.current());
+    const std::chrono::milliseconds wait =
+        lock_claim_.time_until_claim(internal::now(), action.duration);
+    if (wait.count() > 0) {
+        handle(
+            proxy::promotion_lock_answered{proxy::promotion_lock_result::too_early, {}, {}, wait});
+        return;
+    }
+    const proxy::promotion_lock_claim::claim_number number =
+        lock_claim_.start(internal::now(), action.duration);
+    registry_client_.grant(proxy::grant_lease{action.duration},
+                           [this, number](const proxy::lease_outcome& granted) {
+                               if (!lock_claim_.pending(number)) {
+                                   return;
+                               }
+                               if (granted.status != proxy::registry_status::done) {
+                                   finish_lock_claim(proxy::promotion_lock_answered{});
+                                   return;
+                               }
+                               lock_claim_.on_granted(granted.lease);
+                               write_lock_claim(number);
+                           });
+}
+
+void session_host::write_lock_claim(proxy::promotion_lock_claim::claim_number number) {
+    const proxy::write_items claim = lock_claim_.claim_of(internal::now(), settings_.id);
+    registry_client_.write(claim, [this, number](const proxy::write_outcome& written) {
+        using status = proxy::registry_status;
+        if (!lock_claim_.pending(number)) {
             return;
         }
-        lock_claim_.on_granted(granted.lease);
-        const proxy::write_items claim{
-            {{std::string{internal::promotion_lock_key}, 0}},
-            {{std::string{internal::promotion_lock_key}, settings_.id.value, granted.lease}},
-            {}};
-        registry_client_.write(claim, [this](const proxy::write_outcome& written) {
-            if (written.status == proxy::registry_status::done) {
-                finish_lock_claim({proxy::promotion_lock_result::acquired, written.revision, {}});
-            } else if (written.status == proxy::registry_status::conflict) {
-                finish_lock_claim({proxy::promotion_lock_result::held_by_other, 0, {}});
-            } else {
-                // The claim may still be executed; the follower then sees the lock's item.
-                log(core::log_event::level::warning, "duty_claim_unanswered", {});
-            }
-        });
+        if (written.status == status::done) {
+            finish_lock_claim(written.revision);
+        } else if (written.status == status::conflict) {
+            finish_lock_claim({proxy::promotion_lock_result::held_by_other, {}, {}});
+        } else if (written.status == status::lease_ended) {
+            finish_lock_claim(proxy::promotion_lock_answered{});
+        } else {
+            // The claim may still be executed; the follower then sees the lock's item.
+            log(core::log_event::level::warning, "duty_claim_unanswered", {});
+        }
     });
 }
 
+void session_host::finish_lock_claim(proxy::registry_revision revision) {
+    const std::optional<proxy::promotion_token> token =
+        proxy::promotion_token::make(registry_eras_.current(), revision);
+    if (!token.has_value()) {
+        // The lock expires unused.
+        log_token_out_of_bounds(revision);
+        finish_lock_claim(proxy::promotion_lock_answered{});
+        return;
+    }
+    finish_lock_claim({proxy::promotion_lock_result::acquired, *token, {}});
+}
+
+void session_host::log_token_out_of_bounds(proxy::registry_revision revision) {
+    log(core::log_event::level::error, "duty_token_out_of_bounds",
+        {{"revision", std::to_string(revision)},
+         {"era", std::to_string(registry_eras_.current().value_or(0))}});
+}
+
 void session_host::finish_lock_claim(const proxy::promotion_lock_answered& result) {
     if (!lock_claim_.pending()) {
         return;
@@ -695,10 +756,10 @@
 
 void session_host::perform(const proxy::publish_demotion& action) {
     const proxy::primary_demotion& demotion = action.demotion;
-    // The condition also holds back a write that the registry executes late, after another host has
+    // The conditions also hold back a write that the registry executes late, after another host has
     // acquired the lock.
     const proxy::write_items announcement{
-        {{std::string{internal::promotion_lock_key}, action.fencing_token}},
+        proxy::lock_conditions(action.fencing_token),
         {{std::string{internal::demotions_prefix} + demotion.service.value,
           std::to_string(demotion.term) + ' ' + demotion.target.value, 0}},
         {}};
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -41,6 +41,7 @@
     void handle(const proxy::event& input);
     void perform(const proxy::follow_promotions& action);
     void perform(const proxy::acquire_promotion_lock& action);
+    void write_lock_claim(proxy::promotion_lock_claim::claim_number number);
     void perform(const proxy::publish_demotion& action);
     void perform(const proxy::list_demotions& action);
     void perform(const proxy::contact_registry& action);
@@ -59,6 +60,7 @@
     /// @return False if the answer must be ignored.
     [[nodiscard]] bool accept_answer(const std::optional<proxy::registry_era>& era);
     void restart_after_restoration();
+    void update_lock_era();
 
     void run_follower(const std::shared_ptr<proxy::registry_follower>& follower);
     /// @return The followers that watch changes. Pointers to null where none is active.
@@ -79,7 +81,11 @@
     void apply_demotions(const proxy::registry_follower::update& update);
     void apply_promotions(const proxy::registry_follower::update& update);
     void apply_promotion_lock(const proxy::item_change& change);
+    /// @brief Ends the pending claim of the promotion lock successfully.
+    /// @param revision Revision of the lock's item.
+    void finish_lock_claim(proxy::registry_revision revision);
     void finish_lock_claim(const proxy::promotion_lock_answered& result);
+    void log_token_out_of_bounds(proxy::registry_revision revision);
     void maintain_registration();
     void poll_registry();
     [[nodiscard]] gateway::http_server::response
