Send session values again after a target has dropped prepared names

A reset drops names and values together. After NOPREPARED the host prepared the statement again but took the session values of the connection for set (PINNED), and no log line told of it. Change: the connection counts as unknown and is reset before its next statement; the event prepared_names_dropped is logged.

--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -220,6 +220,9 @@
                         const expected_reply& expected, const statement_result& result);
     void on_statement_reply(session& caller, target_connection& connection,
                             const expected_reply& expected, const statement_result& result);
+    /// @brief A target has dropped prepared statements of the connection. The connection is reset
+    /// before its next statement.
+    void distrust_connection_state(target_connection& connection);
     void finish_single(session& caller, target_connection& connection,
                        const statement_result& result);
     void finish_in_transaction(session& caller, target_connection& connection,
--- a/packages/proxy/include/lovagemoor/proxy/pool/target_connection.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/pool/target_connection.hpp
@@ -46,7 +46,7 @@
     connection_phase phase = connection_phase::opening;
     /// Session values that are set at the target.
     std::map<std::string, std::string> values;
-    /// False if a rollback may have reverted session values.
+    /// False if a rollback may have reverted session values, or the target has dropped them.
     bool values_known = true;
     prepared_names prepared;
     std::deque<expected_reply> expected;
--- a/packages/proxy/src/engine/session_engine_replies.cpp
+++ b/packages/proxy/src/engine/session_engine_replies.cpp
@@ -288,13 +288,22 @@
     }
 }
 
+void session_engine::distrust_connection_state(target_connection& connection) {
+    log(core::log_event::level::warning, "prepared_names_dropped",
+        {{"target", connection.target.value},
+         {"connection", std::to_string(connection.id)},
+         {"session", std::to_string(connection.user)}});
+    // A reset drops names and values together, so that both must be sent again.
+    connection.values_known = false;
+}
+
 void session_engine::finish_single(session& caller, target_connection& connection,
                                    const statement_result& result) {
     const request& work = *caller.current;
     if (result.error.has_value()) {
         const statement_error_kind kind = result.error->kind;
         if (kind == statement_error_kind::not_prepared) {
-            connection.prepared.clear();
+            distrust_connection_state(connection);
         }
         const bool repeatable = proves_not_run(kind) ||
                                 kind == statement_error_kind::not_prepared ||
@@ -331,7 +340,7 @@
         const core::target_id target = connection.target;
         const bool first = caller.transaction->answered == 0;
         if (error.kind == statement_error_kind::not_prepared) {
-            connection.prepared.clear();
+            distrust_connection_state(connection);
             if (result.state == session_state::in_transaction &&
                 work.attempts < settings_.max_attempts) {
                 ++work.attempts;
--- a/standins/session/include/lovagemoor/session_standins/database_connection.hpp
+++ b/standins/session/include/lovagemoor/session_standins/database_connection.hpp
@@ -70,6 +70,12 @@
         unknown_name_fails_ = fails_transaction;
     }
 
+    /// @brief Drops prepared statements and session values.
+    void reset() {
+        prepared_.clear();
+        values_.clear();
+    }
+
     /// @brief The next command of this kind is answered with the error instead of being carried
     /// out.
     void refuse_next(std::string verb, std::string code);
