Close a connection whose transaction could not be rolled back

The answers to ROLLBACK were not looked at: a connection whose rollback was refused went back to the pool with its transaction open, and another session's write ran in it and was acknowledged without being committed. A read of the latest state was sent after the BEGIN of its check, before the answer to the check's ROLLBACK. Change: an error or a state other than idle closes the connection, and the read follows the answer to the ROLLBACK, which targets send together with that to BEGIN. The stand-in reverts values and names with a rollback, so that a host which relies on them is found.

--- a/packages/proxy/include/lovagemoor/proxy/pool/prepared_names.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/pool/prepared_names.hpp
@@ -19,8 +19,8 @@
 
 /// @brief The names under which statements are prepared on a connection to a target.
 ///
-/// Sessions that prepared the same statement share its name. A name is a number, so that it holds
-/// nothing that a caller has chosen, and is never given to a second statement.
+/// Sessions that prepared the same statement share its name. A name is a letter and a number, so
+/// that it holds nothing that a caller has chosen, and is never given to a second statement.
 class prepared_names {
 public:
     /// @brief The name of a statement, and what must be sent before the target knows it.
--- a/packages/proxy/include/lovagemoor/proxy/session/session.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/session/session.hpp
@@ -38,6 +38,8 @@
     waiting,
     /// Waiting for the proof that the target is the primary.
     checking,
+    /// The target is the primary. Waiting for the end of the transaction that proved it.
+    confirmed,
     /// Waiting for the transaction to begin at the target.
     beginning,
     /// The statement was sent to the target.
--- a/packages/proxy/src/engine/session_engine_replies.cpp
+++ b/packages/proxy/src/engine/session_engine_replies.cpp
@@ -139,6 +139,17 @@
         break;
     case reply_role::release:
     case reply_role::check_end:
+        if (result.error.has_value() || result.state != session_state::idle) {
+            // The next statement would run in the transaction that is still open.
+            log(core::log_event::level::warning, "rollback_failed",
+                {{"target", connection->target.value},
+                 {"connection", std::to_string(connection->id)}});
+            drop_connection(input.connection);
+            return;
+        }
+        if (caller != nullptr && caller->current->phase == request_phase::confirmed) {
+            send_statement(*caller, *connection, {});
+        }
         break;
     }
     if (target_connection* const still_open = pool_.find(input.connection)) {
@@ -227,7 +238,7 @@
     }
     session& caller = user->second;
     if (leads) {
-        send_statement(caller, connection, {});
+        caller.current->phase = request_phase::confirmed;
         return;
     }
     retry_or_refuse(caller, target,
--- a/standins/session/include/lovagemoor/session_standins/database_connection.hpp
+++ b/standins/session/include/lovagemoor/session_standins/database_connection.hpp
@@ -32,6 +32,9 @@
 /// @brief The target's side of one connection: reads lines of the statement protocol and keeps the
 /// session values, prepared statements and transaction state of the connection.
 ///
+/// The page leaves open whether a rollback reverts values and prepared statements; here it does, so
+/// that a host which relies on them is found.
+///
 /// The parser is written from the protocol's page and shares no code with the adapter of the
 /// product, so that a mistake in one does not hide in the other.
 class database_connection {
@@ -104,6 +107,9 @@
     std::uint64_t transactions_ = 0;
     std::map<std::string, std::string> values_;
     std::map<std::string, prepared_statement> prepared_;
+    /// Values and prepared statements when the transaction began.
+    std::map<std::string, std::string> values_before_;
+    std::map<std::string, prepared_statement> prepared_before_;
     std::map<std::string, std::string> refusals_;
     std::optional<std::string> required_position_;
 };
--- a/standins/session/src/database_connection.cpp
+++ b/standins/session/src/database_connection.cpp
@@ -79,7 +79,7 @@
     if (refusal != refusals_.end()) {
         const std::string code = refusal->second;
         refusals_.erase(refusal);
-        if (state_ == state::in_transaction) {
+        if (state_ == state::in_transaction && fields.word != "ROLLBACK") {
             state_ = state::failed;
         }
         return internal::error(code);
@@ -108,8 +108,14 @@
         }
         state_ = state::in_transaction;
         writable_ = !read_only;
+        values_before_ = values_;
+        prepared_before_ = prepared_;
         ++transactions_;
     } else if (verb == "ROLLBACK") {
+        if (state_ != state::idle) {
+            values_ = values_before_;
+            prepared_ = prepared_before_;
+        }
         state_ = state::idle;
     } else if (verb == "SET") {
         const internal::split_text fields = internal::split(rest);
