Accept that a target does not know an evicted name

If a target had dropped its names before the host deallocated one, the answer NOPREPARED to DEALLOC closed the connection and left the caller's write, which had run, in doubt. Evidence: an_evicted_name_may_be_unknown failed before.

--- a/packages/proxy/src/engine/session_engine_replies.cpp
+++ b/packages/proxy/src/engine/session_engine_replies.cpp
@@ -122,6 +122,10 @@
         break;
     case reply_role::preparation:
         if (result.error.has_value()) {
+            if (result.error->kind == statement_error_kind::not_prepared) {
+                // The answer to the deallocation of an evicted name that the target has dropped.
+                break;
+            }
             log(core::log_event::level::warning, "preparation_failed",
                 {{"target", connection->target.value},
                  {"connection", std::to_string(connection->id)},
