Count the entries of small values in what a session keeps

Change: each value and prepared statement counts with 160 bytes for its entry. Evidence: small_values_count_with_their_entries failed before.

--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
@@ -119,8 +119,8 @@
     std::chrono::milliseconds max_completion_interval{200};
     /// Maximum number of statements that a session may send before its current one is answered.
     std::size_t max_backlog = 32;
-    /// Limit on the names, values and shapes that a session may keep, so that one caller cannot
-    /// exhaust the memory of this host. Twice the protocol's limit on a message.
+    /// Limit on the memory of the names, values and shapes that a session may keep, so that one
+    /// caller cannot exhaust that of this host. Twice the protocol's limit on a message.
     std::size_t max_session_bytes = std::size_t{2} << 20U;
     /// Limits on the prepared statements of a connection. 72 connections, the limit of a target in
     /// the reference deployments, take 18 MB at most of the 112 MB of the smallest host, as long as
--- a/packages/proxy/src/engine/session_engine_sessions.cpp
+++ b/packages/proxy/src/engine/session_engine_sessions.cpp
@@ -4,6 +4,17 @@
 
 namespace lovagemoor::proxy {
 
+namespace internal {
+
+namespace {
+
+/// Memory of an entry of a map beside its texts: the node, two strings and the allocator's share.
+constexpr std::size_t entry_bytes = 160;
+
+} // namespace
+
+} // namespace internal
+
 std::shared_ptr<const route> session_engine::find_route(const std::string& database) const {
     if (!configuration_.has_value()) {
         return nullptr;
@@ -156,11 +167,13 @@
 }
 
 void session_engine::change_session(session& caller, const statement& work) {
-    const std::size_t size = work.name.size() + work.argument.size();
+    const std::size_t size = internal::entry_bytes + work.name.size() + work.argument.size();
     if (work.kind == statement_kind::set) {
         const auto known = caller.values.find(work.name);
         const std::size_t replaced =
-            known == caller.values.end() ? 0 : work.name.size() + known->second.size();
+            known == caller.values.end()
+                ? 0
+                : internal::entry_bytes + work.name.size() + known->second.size();
         if (reserve(caller, replaced, size)) {
             caller.values[work.name] = work.argument;
             answer_success(caller);
@@ -169,7 +182,9 @@
     }
     const auto known = caller.prepared.find(work.name);
     const std::size_t replaced =
-        known == caller.prepared.end() ? 0 : work.name.size() + known->second.shape.size();
+        known == caller.prepared.end()
+            ? 0
+            : internal::entry_bytes + work.name.size() + known->second.shape.size();
     if (work.kind == statement_kind::prepare) {
         if (reserve(caller, replaced, size)) {
             caller.prepared[work.name] = prepared_statement{work.read_only, work.argument};
