--- a/packages/proxy/test/registry/registry_follower_property_test.cpp
+++ b/packages/proxy/test/registry/registry_follower_property_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <iterator>
 #include <map>
@@ -113,8 +114,7 @@
 
     /// @param silent Pending watches are not told: they return no changes at the end of their wait.
     void drop_history(bool silent) {
-        state_.history.clear();
-        state_.history_from = state_.revision;
+        forget_history();
         for (const pending_watch& watch : std::exchange(watches_, {})) {
             if (silent) {
                 wait_out(watch);
@@ -138,9 +138,12 @@
         const registry_era next_era = state_.era + 1;
         state_ = state_at(tasks_.now() - age, false);
         state_.era = next_era;
+        std::erase_if(history_, [this](const item_change& change) {
+            return change.item.revision > state_.revision;
+        });
+        history_from_ = std::min(history_from_, state_.revision);
         if (draw(0, 1) == 0) {
-            state_.history.clear();
-            state_.history_from = state_.revision;
+            forget_history();
         }
         record();
         if (draw(0, 1) == 0) {
@@ -171,13 +174,12 @@
         if (is_hit(done)) {
             return;
         }
-        if (call.after < state_.history_from || call.after > state_.revision) {
+        if (call.after < history_from_ || call.after > state_.revision) {
             answer(done, item_changes{registry_status::history_lost, {}, 0, state_.era});
             return;
         }
         item_changes changes{registry_status::done, {}, state_.revision, state_.era};
-        std::copy_if(state_.history.begin(), state_.history.end(),
-                     std::back_inserter(changes.changes),
+        std::copy_if(history_.begin(), history_.end(), std::back_inserter(changes.changes),
                      [&](const item_change& change) { return change.item.revision > call.after; });
         if (!changes.changes.empty()) {
             answer(done, std::move(changes));
@@ -191,9 +193,7 @@
     struct state {
         registry_era era = 1;
         registry_revision revision = 10;
-        registry_revision history_from = 10;
         item_map items;
-        std::vector<item_change> history;
     };
 
     struct pending_watch {
@@ -218,8 +218,13 @@
         return draw(1, 100) <= lost_percent;
     }
 
+    void forget_history() {
+        history_.clear();
+        history_from_ = state_.revision;
+    }
+
     void add_change(const item_change& change) {
-        state_.history.push_back(change);
+        history_.push_back(change);
         record();
         for (const pending_watch& watch : std::exchange(watches_, {})) {
             if (draw(1, 100) > lost_percent) {
@@ -251,7 +256,7 @@
     void record() {
         past_.emplace_back(tasks_.now(), state_);
         while (past_.size() > 2 && past_[1].first < tasks_.now() - 11s) {
-            past_.erase(past_.begin());
+            past_.pop_front();
         }
     }
 
@@ -273,7 +278,11 @@
     schedule& tasks_;
     std::mt19937_64 random_;
     state state_;
-    std::vector<std::pair<core::time_point, state>> past_;
+    /// Changes after history_from_.
+    std::vector<item_change> history_;
+    registry_revision history_from_ = state_.revision;
+    /// States of the last seconds, for stale lists and copies.
+    std::deque<std::pair<core::time_point, state>> past_;
     std::vector<pending_watch> watches_;
     std::uint64_t watch_count_ = 0;
 };
