Let the stand-in database keep session values and prepared statements

Cause: standin_database parsed statements itself and ignored SET, PREPARE and EXECUTE, so no process test could see what a host makes of them. Change: each of its connections is a database_connection. It records the statements that it runs and the messages that the protocol does not allow. database_connection also asks whether the log has the position of a WAITLSN.

--- a/standins/session/include/lovagemoor/session_standins/database_connection.hpp
+++ b/standins/session/include/lovagemoor/session_standins/database_connection.hpp
@@ -29,6 +29,15 @@
     bool writable = false;
 };
 
+/// @brief The fields that follow the access of a statement.
+struct statement_arguments {
+    std::string item;
+    /// Extends to the end of the statement; empty if there is none.
+    std::string data;
+};
+
+[[nodiscard]] statement_arguments split_arguments(const executed_statement& statement);
+
 /// @brief The target's side of one connection: reads lines of the statement protocol and keeps the
 /// session values, prepared statements and transaction state of the connection.
 ///
@@ -54,6 +63,8 @@
         std::function<std::string()> position;
         /// Receives each message that the protocol does not allow.
         std::function<void(const std::string& reason)> on_malformed;
+        /// Asked for the position that WAITLSN requires. Without it, the log has every position.
+        std::function<bool(const std::string& position)> has_position = {};
     };
 
     explicit database_connection(hooks behavior);
--- a/standins/session/src/database_connection.cpp
+++ b/standins/session/src/database_connection.cpp
@@ -35,6 +35,13 @@
 
 } // namespace internal
 
+statement_arguments split_arguments(const executed_statement& statement) {
+    std::string_view arguments = statement.arguments;
+    arguments.remove_prefix(arguments.empty() ? 0 : 1);
+    const internal::split_text fields = internal::split(arguments);
+    return {fields.word, std::string{fields.rest}};
+}
+
 database_connection::database_connection(hooks behavior) : hooks_{std::move(behavior)} {}
 
 void database_connection::refuse_next(std::string verb, std::string code) {
@@ -71,6 +78,9 @@
         if (fields.word != "READ" && fields.word != "BEGIN" && fields.word != "EXECUTE") {
             return malformed("WAITLSN before " + fields.word);
         }
+        if (hooks_.has_position && !hooks_.has_position(position.word)) {
+            return internal::error("LAGGING");
+        }
     }
     if (state_ == state::failed && fields.word != "ROLLBACK") {
         return internal::error("MALFORMED");
--- a/standins/session/src/standin_database.cpp
+++ b/standins/session/src/standin_database.cpp
@@ -1,6 +1,6 @@
 #include <lovagemoor/session_standins/standin_database.hpp>
 
-#include <sstream>
+#include <optional>
 #include <utility>
 
 namespace lovagemoor::session_standins {
@@ -15,18 +15,19 @@
 }
 
 void standin_database::accept() {
-    acceptor_.async_accept(
-        [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
-            if (error) {
-                return;
-            }
-            const std::uint64_t id = ++last_session_id_;
-            sessions_[id].stream = std::make_shared<gateway::line_stream>(std::move(socket));
-            sessions_[id].stream->start(
-                [this, id](std::string_view line) { on_line(id, line); },
-                [this, id](gateway::stream_end /*reason*/) { sessions_.erase(id); });
-            accept();
-        });
+    acceptor_.async_accept([this](const boost::system::error_code& error,
+                                  boost::asio::ip::tcp::socket socket) {
+        if (error) {
+            return;
+        }
+        const std::uint64_t id = ++last_session_id_;
+        session& client = sessions_[id];
+        client.stream = std::make_shared<gateway::line_stream>(std::move(socket));
+        client.connection = make_connection(id);
+        client.stream->start([this, id](std::string_view line) { on_line(id, line); },
+                             [this, id](gateway::stream_end /*reason*/) { sessions_.erase(id); });
+        accept();
+    });
 }
 
 void standin_database::on_line(std::uint64_t id, std::string_view line) {
@@ -35,52 +36,47 @@
         return;
     }
     session& client = found->second;
-    std::istringstream words{std::string{line}};
-    std::string verb;
-    std::string request;
-    words >> verb >> request;
-    std::string text;
-    std::getline(words >> std::ws, text);
-    std::string& output = client.stream->output();
-    if (verb == "QUERY") {
-        output += execute(client, text);
-    }
-    output += std::string{"READY "} + (client.in_transaction ? "T" : "I") + " 1." +
-              std::to_string(position_) + "\r\n";
+    client.stream->output() += client.connection->on_line(line);
     client.stream->flush();
 }
 
-std::string standin_database::execute(session& client, const std::string& text) {
-    std::istringstream words{text};
-    std::string verb;
-    std::string item;
-    std::string value;
-    words >> verb;
-    if (verb == "WAITLSN") {
-        words >> item >> verb;
-    }
-    words >> item >> value;
-    if (verb == "BEGIN") {
-        client.in_transaction = true;
-    } else if (verb == "ROLLBACK") {
-        client.in_transaction = false;
+std::unique_ptr<database_connection> standin_database::make_connection(std::uint64_t id) {
+    const auto position = [this] { return "1." + std::to_string(position_); };
+    return std::make_unique<database_connection>(database_connection::hooks{
+        [this, id](const executed_statement& statement) {
+            received_.runs.push_back({id, statement});
+            return run(sessions_.at(id), statement);
+        },
+        [](bool /*read_only*/) { return std::optional<std::string>{}; },
+        [this, position](const std::string& /*text*/) {
+            return "DATAROW primary 1 " + position() + " 0 0 " + std::to_string(sessions_.size()) +
+                   " 2\r\nCOMPLETE -\r\n";
+        },
+        position, [this](const std::string& reason) { received_.malformed.push_back(reason); }});
+}
+
+database_connection::outcome standin_database::run(session& client,
+                                                   const executed_statement& statement) {
+    if (client.transaction != statement.transaction) {
+        client.transaction = statement.transaction;
         client.uncommitted.clear();
-    } else if (verb == "COMMIT") {
+    }
+    if (statement.access == "COMMIT") {
         for (const auto& [name, written] : std::exchange(client.uncommitted, {})) {
             apply(name, written);
         }
-        client.in_transaction = false;
-        return "COMPLETE signed\r\n";
-    } else if (verb == "WRITE" && client.in_transaction) {
-        client.uncommitted[item] = value;
-        return "COMPLETE signed\r\n";
-    } else if (verb == "WRITE") {
-        apply(item, value);
-        return "COMPLETE signed\r\n";
-    } else if (verb == "READ") {
-        return "DATAROW " + items_[item] + "\r\nCOMPLETE signed\r\n";
+        return {"COMPLETE signed\r\n"};
+    }
+    const statement_arguments fields = split_arguments(statement);
+    if (statement.access == "READ") {
+        return {"DATAROW " + items_[fields.item] + "\r\nCOMPLETE signed\r\n"};
+    }
+    if (statement.transaction != 0) {
+        client.uncommitted[fields.item] = fields.data;
+    } else {
+        apply(fields.item, fields.data);
     }
-    return "COMPLETE -\r\n";
+    return {"COMPLETE signed\r\n"};
 }
 
 void standin_database::apply(const std::string& item, const std::string& value) {
