--- a/tests/process/session_host_test.cpp
+++ b/tests/process/session_host_test.cpp
@@ -1,5 +1,6 @@
 #include <lovagemoor/session_standins/standin_database.hpp>
 #include <lovagemoor/session_standins/standin_store.hpp>
+#include <lovagemoor/session_standins/statement_judge.hpp>
 #include <lovagemoor/testbed/child_process.hpp>
 #include <lovagemoor/testbed/free_ports.hpp>
 #include <lovagemoor/testbed/programs.hpp>
@@ -16,7 +17,9 @@
 #include <cstdint>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -32,13 +35,14 @@
 /// database, which run on a thread of the test.
 class running_host {
 public:
-    running_host()
+    /// @param max_connections Limit of the database.
+    explicit running_host(unsigned max_connections = 10)
         : store_{context_},
           database_{context_},
           ports_{testbed::find_free_ports(2)},
           directory_{std::filesystem::temp_directory_path() /
                      ("lovagemoor-sessions-" + std::to_string(ports_.front()))} {
-        store_.put("op/config", configuration(1, {"orders"}));
+        store_.put("op/config", configuration(1, {"orders"}, max_connections));
         store_.put("servers/i-1", database_entry("ready"));
         // Entries of another writer, listed before and after the database's.
         store_.put("servers/a-1", std::string(200'000, '['));
@@ -77,14 +81,16 @@
 
     /// @return A configuration with a route from each of the databases to the service.
     [[nodiscard]] static std::string configuration(int version,
-                                                   const std::vector<std::string>& databases) {
+                                                   const std::vector<std::string>& databases,
+                                                   unsigned max_connections = 10) {
         std::string routes;
         for (const std::string& database : databases) {
             routes += (routes.empty() ? "" : ",") + std::string{R"({"host":")"} + database +
                       R"(","service":"s","route_type":"primary","timeout_ms":5000})";
         }
         return R"({"config_version":)" + std::to_string(version) + R"(,"routes":[)" + routes +
-               R"(],"services":[{"name":"s","max_connections":10}]})";
+               R"(],"services":[{"name":"s","max_connections":)" + std::to_string(max_connections) +
+               "}]}";
     }
 
     /// @brief The store loses the answers to all watches that are sent within the time.
@@ -104,6 +110,13 @@
                R"(","zone":"a","slots":2,"state":")" + state + R"(","db_role":"primary"})";
     }
 
+    /// @return What the database has read so far.
+    [[nodiscard]] session_standins::standin_database::record received() {
+        std::promise<session_standins::standin_database::record> copy;
+        boost::asio::post(context_, [&] { copy.set_value(database_.received()); });
+        return copy.get_future().get();
+    }
+
     testbed::child_process& process() { return *host_; }
 
     [[nodiscard]] std::uint16_t caller_port() const { return ports_[0]; }
@@ -147,7 +160,11 @@
     /// @brief Sends a statement.
     /// @return The lines of the answer, including the READY line that ends it.
     std::vector<std::string> execute(const std::string& text) {
-        send("QUERY q" + std::to_string(++last_query_) + " " + text);
+        return execute("q" + std::to_string(++last_query_), text);
+    }
+
+    std::vector<std::string> execute(const std::string& id, const std::string& text) {
+        send("QUERY " + id + " " + text);
         std::vector<std::string> lines;
         do {
             lines.push_back(read_line());
@@ -225,6 +242,55 @@
     BOOST_TEST(session.execute("EXECUTE unknown kit-1").front().starts_with("ERROR NOPREPARED"));
 }
 
+// Guards against a statement that runs in another session's shape, or with words of a shape in its
+// arguments, on the way through the host program: the two sessions share the only connection, and
+// their shapes differ in blanks and further words (PINNED and UNASKED, issue 35).
+BOOST_AUTO_TEST_CASE(sessions_of_one_connection_keep_their_prepared_statements) {
+    const std::vector<std::string> shapes{
+        "READ q1",  "READ q1 READ gj",     "READ q1 ",  "READ  q1",  "READ q1  a", "READ q1 a",
+        "WRITE q1", "WRITE q1 WRITE hpxc", "WRITE q1 ", "WRITE  q1", "WRITE q1\t"};
+    running_host host{1};
+    caller_session sessions[]{caller_session{host.caller_port()},
+                              caller_session{host.caller_port()}};
+    session_standins::statement_judge judge;
+    int last_id = 0;
+    const auto execute = [&](std::size_t session, const std::string& text) {
+        const std::string id = "c" + std::to_string(++last_id);
+        judge.on_sent(session, id, text);
+        const std::vector<std::string> answer = sessions[session].execute(id, text);
+        BOOST_TEST(!answer.front().starts_with("ERROR"), text << ": " << answer.front());
+        judge.on_answered(session, id, answer.front().starts_with("ERROR") ? "refused" : "",
+                          answer.back().substr(0, 7).back());
+    };
+    execute(0, "SET mode a b ");
+    execute(1, "SET mode  a b");
+    for (std::size_t index = 0; index < shapes.size(); ++index) {
+        // Both sessions use the same name, each for a shape of its own.
+        execute(0, "PREPARE s1 " + shapes[index]);
+        execute(1, "PREPARE s1 " + shapes[(index + 1) % shapes.size()]);
+        execute(0, "EXECUTE s1 item-1 1d2 nweou ");
+        execute(1, "EXECUTE s1 item-2  READ gj");
+        execute(0, "BEGIN");
+        execute(0, "EXECUTE s1 item-3 hpxc");
+        execute(0, "COMMIT");
+    }
+    const session_standins::standin_database::record received = host.received();
+    std::set<std::uint64_t> connections;
+    for (const auto& run : received.runs) {
+        if (run.statement.id.starts_with('c')) {
+            connections.insert(run.connection);
+            judge.on_run(run.connection, run.statement);
+        }
+    }
+    BOOST_TEST(connections.size() == 1U);
+    BOOST_TEST(judge.executed() == 3 * shapes.size());
+    for (const std::string& violation : judge.violations()) {
+        BOOST_TEST_MESSAGE(violation);
+    }
+    BOOST_TEST(judge.violations().size() == 0U);
+    BOOST_TEST(received.malformed.empty());
+}
+
 // Guards against answers that are cut because the caller reads more slowly than the database
 // answers: more than line_stream::max_unsent_bytes then wait to be sent.
 BOOST_AUTO_TEST_CASE(a_slow_reader_receives_all_answers) {
