Send values and prepared statements in the soak

Change: callers send them with drawn words and blanks at either end, under names that collide, inside and outside of transactions; after an error in response to one they open a new session, as the protocol's page says. The target's connections are database_connection and its checks of PINNED and UNASKED those of statement_judge. Messages that the protocol does not allow are reported, and the answer to a write must have no row. A statement counts as passed on once a target has read it, also if it is refused there.

--- a/soak/src/caller.cpp
+++ b/soak/src/caller.cpp
@@ -1,5 +1,8 @@
 #include "caller.hpp"
 
+#include <algorithm>
+#include <array>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -26,6 +29,17 @@
 const std::set<std::string> errors_without_effect{"BUSY",     "ABORTED",   "LAGGING",
                                                   "READONLY", "WRONGNODE", "CONNLIMIT"};
 
+/// Commands after whose failure a caller closes its session, as the protocol's page says.
+const std::set<std::string> session_commands{"SET", "PREPARE", "DEALLOC"};
+
+/// @return The word of a text with this index.
+std::string word_of(std::string_view text, std::size_t index) {
+    for (; index > 0; --index) {
+        text.remove_prefix(std::min(text.find(' '), text.size() - 1) + 1);
+    }
+    return std::string{text.substr(0, text.find(' '))};
+}
+
 } // namespace
 
 } // namespace internal
@@ -48,7 +62,7 @@
     ++connection_count_;
     ready_ = false;
     in_transaction_ = false;
-    session_values_.clear();
+    prepared_.clear();
     remaining_statements_.clear();
     socket_ = std::make_shared<tcp::socket>(context_);
     socket_->async_connect(
@@ -87,23 +101,64 @@
     });
 }
 
+std::string caller::draw_words() {
+    // Words of other statements, and blanks at either end and within.
+    const std::array<const char*, 10> parts{"q1", "gj", "READ", "WRITE", "hpxc",
+                                            "",   "Q1", "s1",   "item1", "EXECUTE"};
+    std::string text = parts[random_below(parts.size())];
+    for (std::size_t more = random_below(4); more > 0; --more) {
+        text += std::string{" "} + parts[random_below(parts.size())];
+    }
+    return text.empty() ? "q1" : text;
+}
+
+std::string caller::draw_name() {
+    return "s" + std::to_string(1 + random_below(3));
+}
+
+std::string caller::draw_statement() {
+    const std::string item = "item" + std::to_string(random_below(6));
+    std::string data =
+        " v" + std::to_string(options_.session) + "_" + std::to_string(last_statement_number_);
+    if (random_below(2) == 0) {
+        data += " " + draw_words();
+    }
+    if (!prepared_.empty() && random_below(100) < 50) {
+        // A few names are unknown.
+        const auto drawn = std::next(prepared_.begin(),
+                                     static_cast<std::ptrdiff_t>(random_below(prepared_.size())));
+        const std::string name = random_below(100) < 97 ? drawn->first : draw_name();
+        const bool has_data = drawn->second == "WRITE" || random_below(2) == 0;
+        return "EXECUTE " + name + " " + item + (has_data ? data : "");
+    }
+    return random_below(100) < 40 ? "WRITE " + item + data : "READ " + item;
+}
+
+std::string caller::draw_session_command() {
+    const std::size_t kind = random_below(100);
+    if (kind < 30) {
+        return (random_below(2) == 0 ? "SET zone " : "SET mode ") + draw_words();
+    }
+    if (kind < 40 && !prepared_.empty()) {
+        return "DEALLOC " + prepared_.begin()->first;
+    }
+    return "PREPARE " + draw_name() + (random_below(100) < 60 ? " READ " : " WRITE ") +
+           draw_words();
+}
+
 void caller::choose_operation() {
-    const auto item = [this] { return "item" + std::to_string(random_below(6)); };
-    const auto statement = [&] {
-        return random_below(100) < 40
-                   ? "WRITE " + item() + " v" + std::to_string(options_.session) + "_" +
-                         std::to_string(last_statement_number_)
-                   : "READ " + item();
-    };
     const std::size_t kind = random_below(100);
-    if (kind < 5) {
-        remaining_statements_ = {"SET zone " + std::to_string(random_below(3))};
+    if (kind < 15) {
+        remaining_statements_ = {draw_session_command()};
     } else if (kind < 70) {
-        remaining_statements_ = {statement()};
+        remaining_statements_ = {draw_statement()};
     } else {
         remaining_statements_ = {"BEGIN"};
         for (std::size_t count = 1 + random_below(3); count > 0; --count) {
-            remaining_statements_.push_back(statement());
+            if (random_below(100) < 20) {
+                remaining_statements_.push_back(draw_session_command());
+            }
+            remaining_statements_.push_back(draw_statement());
         }
         remaining_statements_.push_back(random_below(100) < 80 ? "COMMIT" : "ROLLBACK");
     }
@@ -125,7 +180,8 @@
     }
     sent.began = in_transaction_ ? transaction_began_ : sent.sent;
     sent.in_transaction = in_transaction_;
-    sent.values = session_values_;
+    sent.access = access_of(text);
+    history_.judge.on_sent(sent.session_id, id, text);
     outstanding_statement_ = id;
     rows_.clear();
     completion_.clear();
@@ -140,6 +196,15 @@
     });
 }
 
+std::string caller::access_of(const std::string& text) const {
+    const std::string verb = internal::word_of(text, 0);
+    if (verb == "EXECUTE") {
+        const auto prepared = prepared_.find(internal::word_of(text, 1));
+        return prepared == prepared_.end() ? "" : prepared->second;
+    }
+    return verb == "READ" || verb == "WRITE" || verb == "COMMIT" ? verb : "";
+}
+
 void caller::on_line(std::string_view line) {
     const std::string_view word = line.substr(0, line.find(' '));
     const std::string rest{line.substr(std::min(word.size() + 1, line.size()))};
@@ -173,10 +238,18 @@
     const std::string text = history_.statements.at(id).text;
     ++history_.outcomes[error_.empty() ? "done" : error_];
     in_transaction_ = state == "T";
+    const sent_statement& sent = history_.statements.at(id);
+    history_.judge.on_answered(sent.session_id, id, error_, state.empty() ? ' ' : state.front());
     if (error_.empty()) {
         on_success(id, text);
     } else {
-        on_error(id, text);
+        on_error(id, sent);
+        if (internal::session_commands.contains(internal::word_of(text, 0))) {
+            // The session's values and names are unknown now, so the caller opens a new one.
+            std::exchange(stream_, nullptr)->close();
+            reconnect_later();
+            return;
+        }
         remaining_statements_.clear();
         if (state != "I") {
             remaining_statements_.push_back("ROLLBACK");
@@ -186,33 +259,34 @@
 }
 
 void caller::on_success(const std::string& id, const std::string& text) {
-    if (text.starts_with("SET ")) {
-        session_values_["zone"] = text.substr(text.rfind(' ') + 1);
-        return;
+    const std::string verb = internal::word_of(text, 0);
+    if (verb == "PREPARE") {
+        prepared_[internal::word_of(text, 1)] = internal::word_of(text, 2);
+    } else if (verb == "DEALLOC") {
+        prepared_.erase(internal::word_of(text, 1));
     }
-    const bool reads = text.starts_with("READ ");
-    const bool commits = text == "COMMIT";
-    const bool writes = text.starts_with("WRITE ");
-    if (!reads && !commits && !writes) {
+    const sent_statement& sent = history_.statements.at(id);
+    if (sent.access.empty()) {
         return;
     }
-    const std::string expected = "s." + id + "." + (reads && rows_.size() == 1 ? rows_[0] : "none");
-    if (completion_ != expected) {
+    const bool reads = sent.access == "READ";
+    const std::string row = reads && rows_.size() == 1 ? rows_[0] : "";
+    if (completion_ != signature(id, row) || rows_.size() != (reads ? 1U : 0U)) {
         history_.report_violation("MIXED", id + " " + text + " answered with " + completion_);
     }
     last_success_ = clock::now();
-    if (commits || (writes && !history_.statements.at(id).in_transaction)) {
+    if (sent.access == "COMMIT" || (sent.access == "WRITE" && !sent.in_transaction)) {
         targets_.acknowledge(id);
     }
 }
 
-void caller::on_error(const std::string& id, const std::string& text) {
+void caller::on_error(const std::string& id, const sent_statement& sent) {
     if (error_ == "NODB") {
         history_.report_violation("CONFIG", id + " was told that its database is unknown");
     }
-    const bool single_write =
-        text.starts_with("WRITE ") && !history_.statements.at(id).in_transaction;
-    if ((single_write || text == "COMMIT") && internal::errors_without_effect.contains(error_)) {
+    const bool single_write = sent.access == "WRITE" && !sent.in_transaction;
+    if ((single_write || sent.access == "COMMIT") &&
+        internal::errors_without_effect.contains(error_)) {
         history_.refused_statements[id] = error_;
     }
 }
--- a/soak/src/caller.hpp
+++ b/soak/src/caller.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -55,12 +56,18 @@
     void reconnect_later();
     void send_after_pause();
     void choose_operation();
+    [[nodiscard]] std::string draw_words();
+    [[nodiscard]] std::string draw_name();
+    [[nodiscard]] std::string draw_statement();
+    [[nodiscard]] std::string draw_session_command();
     void send_next();
     void on_line(std::string_view line);
     void on_startup_answer(std::string_view line);
     void on_answer(const std::string& state);
     void on_success(const std::string& id, const std::string& text);
-    void on_error(const std::string& id, const std::string& text);
+    void on_error(const std::string& id, const sent_statement& sent);
+    /// @return READ, WRITE or COMMIT if the statement is of that kind; empty otherwise.
+    [[nodiscard]] std::string access_of(const std::string& text) const;
     void on_disconnect();
     void on_answer_timeout(const std::string& id);
     [[nodiscard]] std::size_t random_below(std::size_t below);
@@ -80,7 +87,8 @@
     std::vector<std::string> rows_;
     std::string completion_;
     std::string error_;
-    std::map<std::string, std::string> session_values_;
+    /// Access of each prepared statement of the session.
+    std::map<std::string, std::string> prepared_;
     bool in_transaction_ = false;
     clock::time_point transaction_began_;
     std::uint64_t last_statement_number_ = 0;
--- a/soak/src/run_history.hpp
+++ b/soak/src/run_history.hpp
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <lovagemoor/session_standins/statement_judge.hpp>
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -24,8 +27,9 @@
     bool in_transaction = false;
     /// True once a target has received the statement.
     bool reached_target = false;
-    /// Session values whose SET statements were acknowledged to the caller.
-    std::map<std::string, std::string> values;
+    /// READ, WRITE or COMMIT. For EXECUTE, the access of the prepared statement. Empty for other
+    /// statements.
+    std::string access;
 };
 
 /// @brief A commit that was acknowledged to its caller.
@@ -38,17 +42,26 @@
     bool rolled_back = false;
 };
 
+/// @return The signature of a target for a statement and the row of its answer.
+inline std::string signature(const std::string& statement_id, const std::string& row) {
+    return "s." + statement_id + "." + std::to_string(std::hash<std::string>{}(row));
+}
+
 /// @brief Records the statements and answers of a run, and each promise that was found broken.
 struct run_history {
+    session_standins::statement_judge judge;
     std::map<std::string, sent_statement> statements;
     std::vector<acknowledged_commit> commits;
     /// Statements whose answer promised that they had no effect, with the error code.
     std::map<std::string, std::string> refused_statements;
-    std::vector<std::string> violations;
     std::map<std::string, unsigned> outcomes;
 
     void report_violation(const std::string& rule, const std::string& detail) {
-        violations.push_back(rule + ": " + detail);
+        judge.report(rule, detail);
+    }
+
+    [[nodiscard]] const std::vector<std::string>& violations() const noexcept {
+        return judge.violations();
     }
 };
 
--- a/soak/src/soak_run.cpp
+++ b/soak/src/soak_run.cpp
@@ -184,7 +184,7 @@
 
 soak_run::~soak_run() {
     hosts_.clear();
-    if (history_.violations.empty()) {
+    if (history_.violations().empty()) {
         std::error_code ignored;
         std::filesystem::remove_all(directory_, ignored);
     }
@@ -427,14 +427,15 @@
     run_after(internal::fault_start_delay + length_, [this] { end_faults(); });
     context_.run();
     targets_.check_refusals();
+    std::cout << "EXECUTE runs " << history_.judge.executed() << ", ";
     for (const auto& [outcome, count] : history_.outcomes) {
         std::cout << outcome << " " << count << ", ";
     }
     std::cout << "promotions " << targets_.promotions() << "\n";
-    for (const std::string& violation : history_.violations) {
+    for (const std::string& violation : history_.violations()) {
         std::cout << "BROKEN " << violation << "\n";
     }
-    return history_.violations.empty();
+    return history_.violations().empty();
 }
 
 } // namespace lovagemoor::soak
--- a/soak/src/target_group.cpp
+++ b/soak/src/target_group.cpp
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <sstream>
+#include <optional>
 #include <utility>
 
 namespace lovagemoor::soak {
@@ -83,6 +83,7 @@
                 const std::uint64_t id = ++last_session_id_;
                 session& opened = target.sessions[id];
                 opened.stream = std::make_shared<gateway::line_stream>(std::move(socket));
+                opened.connection = make_connection(index, id);
                 opened.stream->start(
                     [this, index, id](std::string_view line) { on_line(index, id, line); },
                     [this, index, id](gateway::stream_end /*reason*/) {
@@ -175,129 +176,105 @@
     }
     member& target = members_[index];
     session& current_session = found->second;
-    std::string text{line};
-    const std::string verb = internal::extract_word(text);
     std::string& output = current_session.stream->output();
-    if (verb == "QUERY") {
-        const std::string request = internal::extract_word(text);
-        std::string answer = run(index, current_session, request, text);
-        if (request != "-" && target.lost_answers > 0) {
-            --target.lost_answers;
-            return;
-        }
-        output += answer;
-    } else if (verb == "STARTUP") {
+    if (line.starts_with("STARTUP ")) {
+        std::string text{line.substr(line.find(' ') + 1)};
         const std::string service = internal::extract_word(text);
         internal::extract_word(text);
         if (service != "s" || (!text.empty() && text != target.id)) {
             output += internal::error_answer("WRONGNODE");
         }
     }
-    output += std::string{"READY "} + (current_session.in_transaction ? "T " : "I ") +
-              position_of(target) + "\r\n";
+    const std::string answer = current_session.connection->on_line(line);
+    if (line.starts_with("QUERY ") && !line.starts_with("QUERY - ")) {
+        std::string text{line.substr(line.find(' ') + 1)};
+        const auto sent = history_.statements.find(internal::extract_word(text));
+        if (sent != history_.statements.end()) {
+            sent->second.reached_target = true;
+        }
+        if (target.lost_answers > 0) {
+            --target.lost_answers;
+            return;
+        }
+    }
+    output += answer;
     current_session.stream->flush();
 }
 
-std::string target_group::position_of(const member& target) const {
+std::string target_group::position_of(const member& target) {
     return target.log.empty()
                ? "1.0"
                : std::to_string(target.log.back().term) + "." + std::to_string(target.log.size());
 }
 
-std::string target_group::run(std::size_t index, session& current_session, const std::string& id,
-                              std::string text) {
-    member& target = members_[index];
-    if (text.starts_with("WAITLSN ")) {
-        internal::extract_word(text);
-        const std::string position = internal::extract_word(text);
-        const std::size_t dot = position.find('.');
-        const std::pair required{std::stoull(position.substr(0, dot)),
-                                 std::stoull(position.substr(dot + 1))};
-        const std::pair available{target.log.empty() ? 1ULL : target.log.back().term,
-                                  static_cast<unsigned long long>(target.log.size())};
-        if (available < required) {
-            return internal::error_answer("LAGGING");
-        }
-    }
-    if (id != "-") {
-        return run_statement(index, current_session, id, text);
-    }
-    const std::string verb = internal::extract_word(text);
-    if (verb == "BEGIN") {
-        if (text != "READ" && index != primary_) {
-            return internal::error_answer("READONLY");
-        }
-        current_session.in_transaction = true;
-        current_session.writable = text != "READ";
-        current_session.owner_session_id = 0;
-    } else if (verb == "ROLLBACK") {
-        current_session.in_transaction = false;
-        current_session.uncommitted.clear();
-    } else if (verb == "SET") {
-        const std::string name = internal::extract_word(text);
-        current_session.values[name] = text;
-    } else if (verb == "DISCARD") {
-        current_session.values.clear();
-    } else if (verb == "STATUS" || verb == "PAUSE") {
-        return std::string{"DATAROW "} + (index == primary_ ? "primary " : "replica ") +
-               std::to_string(term_) + " " + position_of(target) + " 0 0 1 1\r\nCOMPLETE -\r\n";
-    }
-    return "COMPLETE -\r\n";
+bool target_group::has_position(const member& target, const std::string& position) {
+    const std::size_t dot = position.find('.');
+    const std::pair required{std::stoull(position.substr(0, dot)),
+                             std::stoull(position.substr(dot + 1))};
+    const std::pair available{target.log.empty() ? 1ULL : target.log.back().term,
+                              static_cast<unsigned long long>(target.log.size())};
+    return available >= required;
 }
 
-std::string target_group::run_statement(std::size_t index, session& current_session,
-                                        const std::string& id, const std::string& text) {
+std::unique_ptr<session_standins::database_connection>
+target_group::make_connection(std::size_t index, std::uint64_t id) {
+    const auto position = [this, index] { return position_of(members_[index]); };
+    return std::make_unique<session_standins::database_connection>(
+        session_standins::database_connection::hooks{
+            [this, index, id](const session_standins::executed_statement& statement) {
+                return run(index, id, statement);
+            },
+            [this, index](bool read_only) {
+                return !read_only && index != primary_ ? std::optional<std::string>{"READONLY"}
+                                                       : std::nullopt;
+            },
+            [this, index, position](const std::string& /*text*/) {
+                return std::string{"DATAROW "} + (index == primary_ ? "primary " : "replica ") +
+                       std::to_string(term_) + " " + position() + " 0 0 1 1\r\nCOMPLETE -\r\n";
+            },
+            position,
+            [this](const std::string& reason) { history_.report_violation("MALFORMED", reason); },
+            [this, index](const std::string& required) {
+                return has_position(members_[index], required);
+            }});
+}
+
+session_standins::database_connection::outcome
+target_group::run(std::size_t index, std::uint64_t id,
+                  const session_standins::executed_statement& statement) {
     member& target = members_[index];
-    const auto sent = history_.statements.find(id);
-    if (sent == history_.statements.end() || sent->second.text != text) {
-        history_.report_violation("UNASKED", id + " " + text);
-        return internal::error_answer("FAILED");
+    if (!history_.judge.on_received(statement)) {
+        return {internal::error_answer("FAILED")};
     }
-    sent->second.reached_target = true;
     if (target.busy) {
-        return internal::error_answer("BUSY");
-    }
-    check_session_state(current_session, id, text);
-    if (current_session.in_transaction && current_session.writable && index != primary_) {
-        current_session.in_transaction = false;
-        current_session.uncommitted.clear();
-        return internal::error_answer("READONLY");
-    }
-    std::string rest = text;
-    const std::string verb = internal::extract_word(rest);
-    if (verb == "COMMIT") {
-        return commit(index, current_session, id);
+        return {internal::error_answer("BUSY")};
     }
-    const std::string item = internal::extract_word(rest);
-    if (verb == "READ") {
-        return read(target, id, item);
+    history_.judge.on_run(id, statement);
+    if (statement.writable && index != primary_) {
+        return {internal::error_answer("READONLY"), true};
     }
-    return write(index, current_session, {term_, id, id, item, rest, clock::now()});
-}
-
-void target_group::check_session_state(session& current_session, const std::string& id,
-                                       const std::string& text) {
-    const sent_statement& sent = history_.statements.at(id);
-    if (current_session.in_transaction && current_session.owner_session_id == 0) {
-        current_session.owner_session_id = sent.session_id;
+    session& current_session = target.sessions.at(id);
+    if (current_session.transaction != statement.transaction) {
+        current_session.transaction = statement.transaction;
+        current_session.uncommitted.clear();
     }
-    const bool own =
-        !current_session.in_transaction || current_session.owner_session_id == sent.session_id;
-    if (sent.in_transaction != current_session.in_transaction || !own) {
-        history_.report_violation("PINNED", id + " " + text + " in another transaction");
+    if (statement.access == "COMMIT") {
+        return {commit(index, current_session, statement.id)};
     }
-    if (current_session.values != sent.values) {
-        history_.report_violation("PINNED", id + " " + text + " with other session values");
+    if (statement.access == "READ") {
+        return {read(target, statement.id, session_standins::split_arguments(statement).item)};
     }
+    return write(index, current_session, statement);
 }
 
-std::string target_group::read(member& target, const std::string& id, const std::string& item) {
+std::string target_group::read(const member& target, const std::string& id,
+                               const std::string& item) {
     check_staleness(target, id);
     const auto newest =
         std::find_if(target.log.rbegin(), target.log.rend(),
                      [&](const log_entry& candidate) { return candidate.item == item; });
-    return "DATAROW " + (newest == target.log.rend() ? "none" : newest->value) + "\r\nCOMPLETE s." +
-           id + "." + (newest == target.log.rend() ? "none" : newest->value) + "\r\n";
+    const std::string row = newest == target.log.rend() ? "none" : newest->value;
+    return "DATAROW " + row + "\r\nCOMPLETE " + signature(id, row) + "\r\n";
 }
 
 void target_group::check_staleness(const member& target, const std::string& id) {
@@ -314,17 +291,22 @@
     }
 }
 
-std::string target_group::write(std::size_t index, session& current_session,
-                                const log_entry& new_entry) {
-    if (index != primary_ || (current_session.in_transaction && !current_session.writable)) {
-        return internal::error_answer("READONLY");
+session_standins::database_connection::outcome
+target_group::write(std::size_t index, session& current_session,
+                    const session_standins::executed_statement& statement) {
+    if (index != primary_ || (statement.transaction != 0 && !statement.writable)) {
+        return {internal::error_answer("READONLY")};
     }
-    if (current_session.in_transaction) {
+    const session_standins::statement_arguments fields =
+        session_standins::split_arguments(statement);
+    const log_entry new_entry{term_,       statement.id, statement.id,
+                              fields.item, fields.data,  clock::now()};
+    if (statement.transaction != 0) {
         current_session.uncommitted.push_back(new_entry);
     } else {
         append(members_[index], new_entry);
     }
-    return "COMPLETE s." + new_entry.write_id + ".none\r\n";
+    return {"COMPLETE " + signature(statement.id, "") + "\r\n"};
 }
 
 std::string target_group::commit(std::size_t index, session& current_session,
@@ -336,8 +318,7 @@
         append(members_[index], new_entry);
     }
     current_session.uncommitted.clear();
-    current_session.in_transaction = false;
-    return "COMPLETE s." + id + ".none\r\n";
+    return "COMPLETE " + signature(id, "") + "\r\n";
 }
 
 void target_group::append(member& target, const log_entry& new_entry) {
--- a/soak/src/target_group.hpp
+++ b/soak/src/target_group.hpp
@@ -5,6 +5,7 @@
 
 #include <lovagemoor/gateway/http_server.hpp>
 #include <lovagemoor/gateway/line_stream.hpp>
+#include <lovagemoor/session_standins/database_connection.hpp>
 #include <lovagemoor/session_standins/standin_store.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -68,12 +69,9 @@
 
     struct session {
         std::shared_ptr<gateway::line_stream> stream;
-        std::map<std::string, std::string> values;
-        bool in_transaction = false;
-        bool writable = false;
-        /// Identifier of the caller's session whose transaction is open; 0 before the first
-        /// statement of the transaction.
-        std::uint64_t owner_session_id = 0;
+        std::unique_ptr<session_standins::database_connection> connection;
+        /// Transaction to which the uncommitted writes belong.
+        std::uint64_t transaction = 0;
         std::vector<log_entry> uncommitted;
     };
 
@@ -95,18 +93,19 @@
     gateway::http_server::response promote(const gateway::http_server::request& request);
     void finish_promotion(std::size_t chosen);
     void on_line(std::size_t index, std::uint64_t id, std::string_view line);
-    std::string run(std::size_t index, session& current_session, const std::string& id,
-                    std::string text);
-    std::string run_statement(std::size_t index, session& current_session, const std::string& id,
-                              const std::string& text);
-    std::string read(member& target, const std::string& id, const std::string& item);
-    std::string write(std::size_t index, session& current_session, const log_entry& new_entry);
+    [[nodiscard]] std::unique_ptr<session_standins::database_connection>
+    make_connection(std::size_t index, std::uint64_t id);
+    session_standins::database_connection::outcome
+    run(std::size_t index, std::uint64_t id, const session_standins::executed_statement& statement);
+    std::string read(const member& target, const std::string& id, const std::string& item);
+    session_standins::database_connection::outcome
+    write(std::size_t index, session& current_session,
+          const session_standins::executed_statement& statement);
     std::string commit(std::size_t index, session& current_session, const std::string& id);
     void append(member& target, const log_entry& new_entry);
-    void check_session_state(session& current_session, const std::string& id,
-                             const std::string& text);
     void check_staleness(const member& target, const std::string& id);
-    [[nodiscard]] std::string position_of(const member& target) const;
+    [[nodiscard]] static std::string position_of(const member& target);
+    [[nodiscard]] static bool has_position(const member& target, const std::string& position);
 
     boost::asio::io_context& context_;
     session_standins::standin_store& registry_;
