--- a/soak/src/target_group.cpp
+++ b/soak/src/target_group.cpp
@@ -243,13 +243,12 @@
 target_group::run(std::size_t index, std::uint64_t id,
                   const session_standins::executed_statement& statement) {
     member& target = members_[index];
-    if (!history_.judge.on_received(statement)) {
-        return {internal::error_answer("FAILED")};
-    }
     if (target.busy) {
-        return {internal::error_answer("BUSY")};
+        return {internal::error_answer(history_.judge.on_received(statement) ? "BUSY" : "FAILED")};
+    }
+    if (!history_.judge.on_run(id, statement)) {
+        return {internal::error_answer("FAILED")};
     }
-    history_.judge.on_run(id, statement);
     if (statement.writable && index != primary_) {
         return {internal::error_answer("READONLY"), true};
     }
--- a/standins/session/include/lovagemoor/session_standins/statement_judge.hpp
+++ b/standins/session/include/lovagemoor/session_standins/statement_judge.hpp
@@ -35,7 +35,8 @@
 
     /// @brief Checks a statement that a target runs, including what on_received() checks.
     /// @param connection Identifies the connection over which the statement ran.
-    void on_run(std::uint64_t connection, const executed_statement& run);
+    /// @return What on_received() returns.
+    bool on_run(std::uint64_t connection, const executed_statement& run);
 
     /// @brief Also reports messages that are not judged by their statement.
     void report(const std::string& rule, const std::string& what);
--- a/standins/session/src/statement_judge.cpp
+++ b/standins/session/src/statement_judge.cpp
@@ -85,11 +85,11 @@
     return is_unchanged;
 }
 
-void statement_judge::on_run(std::uint64_t connection, const executed_statement& run) {
-    static_cast<void>(on_received(run));
+bool statement_judge::on_run(std::uint64_t connection, const executed_statement& run) {
+    const bool is_unchanged = on_received(run);
     const auto sent = statements_.find(run.id);
     if (sent == statements_.end()) {
-        return;
+        return false;
     }
     if (internal::word_at(run.text, 0) == "EXECUTE") {
         check_execute(sent->second, run);
@@ -98,6 +98,7 @@
         report("PINNED", run.id + " ran with other session values");
     }
     check_transaction(sent->second, connection, run);
+    return is_unchanged;
 }
 
 void statement_judge::check_transaction(const sent_statement& sent, std::uint64_t connection,
