Send bursts of statements in the soak

Callers send up to five statements outside of transactions without waiting for answers. Each has its time from the moment at which it became the first that waits.

--- a/soak/src/caller.cpp
+++ b/soak/src/caller.cpp
@@ -96,7 +96,11 @@
             if (remaining_statements_.empty()) {
                 choose_operation();
             }
-            send_next();
+            do {
+                send_next();
+            } while (sends_ahead_ && !remaining_statements_.empty());
+            stream_->flush();
+            await_answer();
         }
     });
 }
@@ -148,8 +152,13 @@
 
 void caller::choose_operation() {
     const std::size_t kind = random_below(100);
+    sends_ahead_ = kind >= 15 && kind < 30;
     if (kind < 15) {
         remaining_statements_ = {draw_session_command()};
+    } else if (sends_ahead_) {
+        for (std::size_t count = 2 + random_below(4); count > 0; --count) {
+            remaining_statements_.push_back(draw_statement());
+        }
     } else if (kind < 70) {
         remaining_statements_ = {draw_statement()};
     } else {
@@ -182,16 +191,19 @@
     sent.in_transaction = in_transaction_;
     sent.access = access_of(text);
     history_.judge.on_sent(sent.session_id, id, text);
-    outstanding_statement_ = id;
+    outstanding_.push_back(id);
+    stream_->output() += "QUERY " + id + " " + text + "\r\n";
+}
+
+void caller::await_answer() {
+    waiting_since_ = clock::now();
     rows_.clear();
     completion_.clear();
     error_.clear();
-    stream_->output() += "QUERY " + id + " " + text + "\r\n";
-    stream_->flush();
     answer_timer_.expires_after(internal::answer_timeout);
-    answer_timer_.async_wait([this, id](const boost::system::error_code& error) {
-        if (!error) {
-            on_answer_timeout(id);
+    answer_timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error && !outstanding_.empty()) {
+            on_answer_timeout();
         }
     });
 }
@@ -229,11 +241,12 @@
 }
 
 void caller::on_answer(const std::string& state) {
-    if (!outstanding_statement_.has_value()) {
+    if (outstanding_.empty()) {
         history_.report_violation("UNASKED", "answer without a statement");
         return;
     }
-    const std::string id = *std::exchange(outstanding_statement_, std::nullopt);
+    const std::string id = std::move(outstanding_.front());
+    outstanding_.pop_front();
     answer_timer_.cancel();
     const std::string text = history_.statements.at(id).text;
     ++history_.outcomes[error_.empty() ? "done" : error_];
@@ -255,7 +268,11 @@
             remaining_statements_.push_back("ROLLBACK");
         }
     }
-    send_after_pause();
+    if (outstanding_.empty()) {
+        send_after_pause();
+    } else {
+        await_answer();
+    }
 }
 
 void caller::on_success(const std::string& id, const std::string& text) {
@@ -295,28 +312,26 @@
     answer_timer_.cancel();
     pause_timer_.cancel();
     stream_.reset();
-    if (outstanding_statement_.has_value()) {
+    for (const std::string& id : std::exchange(outstanding_, {})) {
         ++history_.outcomes["disconnected"];
-        const sent_statement& sent = history_.statements.at(*outstanding_statement_);
+        const sent_statement& sent = history_.statements.at(id);
         const bool must_be_answered =
             sent.reached_target || clock::now() - sent.sent > internal::disconnect_allowance;
         if (options_.host_stops_gracefully() && must_be_answered) {
-            history_.report_violation("LOST", *outstanding_statement_ +
-                                                  " was interrupted by a planned stop");
+            history_.report_violation("LOST", id + " was interrupted by a planned stop");
         }
-        outstanding_statement_.reset();
     }
     reconnect_later();
 }
 
-void caller::on_answer_timeout(const std::string& id) {
-    const clock::time_point sent = history_.statements.at(id).sent;
-    if (options_.host_undisturbed_since(sent)) {
+void caller::on_answer_timeout() {
+    const std::string& id = outstanding_.front();
+    if (options_.host_undisturbed_since(waiting_since_)) {
         history_.report_violation("HANG", id + " " + history_.statements.at(id).text +
                                               " was not answered in time");
     }
     ++history_.outcomes["timed out"];
-    outstanding_statement_.reset();
+    outstanding_.clear();
     stream_->abort();
     stream_.reset();
     reconnect_later();
--- a/soak/src/caller.hpp
+++ b/soak/src/caller.hpp
@@ -14,7 +14,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -69,7 +68,8 @@
     /// @return READ, WRITE or COMMIT if the statement is of that kind; empty otherwise.
     [[nodiscard]] std::string access_of(const std::string& text) const;
     void on_disconnect();
-    void on_answer_timeout(const std::string& id);
+    void await_answer();
+    void on_answer_timeout();
     [[nodiscard]] std::size_t random_below(std::size_t below);
 
     boost::asio::io_context& context_;
@@ -83,7 +83,12 @@
     boost::asio::steady_timer answer_timer_;
     bool ready_ = false;
     std::deque<std::string> remaining_statements_;
-    std::optional<std::string> outstanding_statement_;
+    /// The remaining statements are sent at once, without waiting for answers.
+    bool sends_ahead_ = false;
+    /// Statements that wait for their answers, in the order in which they were sent.
+    std::deque<std::string> outstanding_;
+    /// When the first of them became the first.
+    clock::time_point waiting_since_;
     std::vector<std::string> rows_;
     std::string completion_;
     std::string error_;
