--- a/soak/src/caller.hpp
+++ b/soak/src/caller.hpp
@@ -12,8 +12,8 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
-#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -55,14 +55,21 @@
     void reconnect_later();
     void send_after_pause();
     void choose_operation();
+    [[nodiscard]] std::string draw_words();
+    [[nodiscard]] std::string draw_name();
+    [[nodiscard]] std::string draw_statement();
+    [[nodiscard]] std::string draw_session_command();
     void send_next();
     void on_line(std::string_view line);
     void on_startup_answer(std::string_view line);
     void on_answer(const std::string& state);
     void on_success(const std::string& id, const std::string& text);
-    void on_error(const std::string& id, const std::string& text);
+    void on_error(const std::string& id, const sent_statement& sent);
+    /// @return READ, WRITE or COMMIT if the statement is of that kind; empty otherwise.
+    [[nodiscard]] std::string access_of(const std::string& text) const;
     void on_disconnect();
-    void on_answer_timeout(const std::string& id);
+    void await_answer();
+    void on_answer_timeout();
     [[nodiscard]] std::size_t random_below(std::size_t below);
 
     boost::asio::io_context& context_;
@@ -76,11 +83,17 @@
     boost::asio::steady_timer answer_timer_;
     bool ready_ = false;
     std::deque<std::string> remaining_statements_;
-    std::optional<std::string> outstanding_statement_;
+    /// The remaining statements are sent at once, without waiting for answers.
+    bool sends_ahead_ = false;
+    /// Statements that wait for their answers, in the order in which they were sent.
+    std::deque<std::string> outstanding_;
+    /// When the first of them became the first.
+    clock::time_point waiting_since_;
     std::vector<std::string> rows_;
     std::string completion_;
     std::string error_;
-    std::map<std::string, std::string> session_values_;
+    /// Access of each prepared statement of the session.
+    std::map<std::string, std::string> prepared_;
     bool in_transaction_ = false;
     clock::time_point transaction_began_;
     std::uint64_t last_statement_number_ = 0;
