Read services and hosts of registry keys as they were written

A name of a service may contain a slash. The host took the last segment of a demotion's key for the service, so a demotion of "a/s" applied to "s". Keys of hosts, demotions and suspicions and values of demotions were not checked for names; the highest term, whose next one is 0, was accepted.

The three decoders move from the host's program to platform/host_documents, so that tests reach them. Keys and values on the wire stay the same. Entries that are refused are logged.

--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -1,10 +1,10 @@
 #include "session_host.hpp"
 
 #include <lovagemoor/core/overloaded.hpp>
+#include <lovagemoor/platform_adapter/host_documents.hpp>
 #include <lovagemoor/platform_adapter/registry_documents.hpp>
 #include <lovagemoor/platform_adapter/statement_protocol.hpp>
 
-#include <charconv>
 #include <csignal>
 #include <ctime>
 #include <iostream>
@@ -16,18 +16,14 @@
 
 namespace {
 
-/// @name Registry keys that session hosts write
+using platform_adapter::demotions_prefix;
+using platform_adapter::hosts_prefix;
+using platform_adapter::suspicions_prefix;
+
+/// @name Further registry keys that session hosts write
 /// @{
-/// Prefix of the hosts' registrations. The host's id follows; the value is its failure domain.
-constexpr std::string_view hosts_prefix = "lovagemoor/hosts/";
 /// Prefix of all keys for promotions.
 constexpr std::string_view promotion_prefix = "lovagemoor/promotion/";
-/// Prefix of announced demotions. The service follows; the value is the lowest term in which the
-/// former primary may lead again and the primary, separated by a space.
-constexpr std::string_view demotions_prefix = "lovagemoor/demotions/";
-/// Prefix of reports that a primary is suspected. The service and the reporting host follow; the
-/// value is the suspected target.
-constexpr std::string_view suspicions_prefix = "lovagemoor/promotion/suspicions/";
 /// Key of the promotion lock. The value is the host that may promote; the item's revision is its
 /// fencing token.
 constexpr std::string_view promotion_lock_key = "lovagemoor/promotion/duty";
@@ -87,24 +83,6 @@
     return std::make_shared<proxy::registry_follower>(std::string{prefix}, settings);
 }
 
-std::string last_key_segment(const std::string& key) {
-    return key.substr(key.rfind('/') + 1);
-}
-
-/// @return Nothing if the item does not name a term and a target.
-std::optional<proxy::primary_demotion> parse_demotion(const std::string& key,
-                                                      const std::string& value) {
-    proxy::primary_demotion demotion;
-    const char* const end = value.data() + value.size();
-    const std::from_chars_result term = std::from_chars(value.data(), end, demotion.term);
-    if (term.ec != std::errc{} || term.ptr == end || *term.ptr != ' ' || term.ptr + 1 == end) {
-        return std::nullopt;
-    }
-    demotion.service = core::service_id{last_key_segment(key)};
-    demotion.target = core::target_id{std::string{term.ptr + 1, end}};
-    return demotion;
-}
-
 } // namespace
 
 } // namespace internal
@@ -492,9 +470,13 @@
     proxy::hosts_listed listed;
     bool registered = false;
     for (const proxy::item_change& change : update.changes) {
-        const core::host_id host{internal::last_key_segment(change.item.key)};
-        registered = registered || host == settings_.id;
-        listed.hosts.push_back({host, core::domain_id{change.item.value}});
+        const std::optional<core::host_id> host = platform_adapter::host_of_key(change.item.key);
+        if (!host.has_value()) {
+            log_rejected_item("host_entry_rejected", change.item);
+            continue;
+        }
+        registered = registered || *host == settings_.id;
+        listed.hosts.push_back({*host, core::domain_id{change.item.value}});
     }
     if (!registered) {
         registration_.on_lost(internal::now());
@@ -507,14 +489,13 @@
     for (const proxy::item_change& change : update.changes) {
         const std::optional<proxy::primary_demotion> demotion =
             change.removed ? std::nullopt
-                           : internal::parse_demotion(change.item.key, change.item.value);
+                           : platform_adapter::parse_demotion(change.item.key, change.item.value);
         if (demotion.has_value() && update.complete) {
             listed.demotions.push_back(*demotion);
         } else if (demotion.has_value()) {
             handle(proxy::demotion_announced{*demotion});
         } else {
-            log(core::log_event::level::warning, "demotion_rejected",
-                {{"key", change.item.key}, {"revision", std::to_string(change.item.revision)}});
+            log_rejected_item("demotion_rejected", change.item);
         }
     }
     if (update.complete) {
@@ -532,9 +513,13 @@
         if (!key.starts_with(internal::suspicions_prefix)) {
             continue;
         }
-        const core::host_id host{internal::last_key_segment(key)};
-        const std::size_t start = internal::suspicions_prefix.size();
-        const core::service_id service{key.substr(start, key.rfind('/') - start)};
+        const std::optional<platform_adapter::suspicion_key> names =
+            platform_adapter::parse_suspicion_key(key);
+        if (!names.has_value()) {
+            log_rejected_item("suspicion_rejected", change.item);
+            continue;
+        }
+        const auto& [service, host] = *names;
         const proxy::suspicion_report report{service, core::target_id{change.item.value}, host};
         if (update.complete) {
             listed.reports.push_back(report);
@@ -686,6 +671,11 @@
                            });
 }
 
+void session_host::log_rejected_item(const char* name, const proxy::registry_item& item) {
+    log(core::log_event::level::warning, name,
+        {{"key", item.key}, {"revision", std::to_string(item.revision)}});
+}
+
 void session_host::log(core::log_event::level severity, const char* name,
                        std::vector<std::pair<std::string, std::string>> fields) {
     logger_.perform(core::log_event{severity, name, std::move(fields)});
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -74,6 +74,7 @@
     void poll_registry();
     [[nodiscard]] gateway::http_server::response
     answer_request(const gateway::http_server::request& request) const;
+    void log_rejected_item(const char* name, const proxy::registry_item& item);
     void log(core::log_event::level severity, const char* name,
              std::vector<std::pair<std::string, std::string>> fields);
 
