Apply a configuration although one of its routes is odd

One odd route made the host reject the whole configuration, so that all routes stayed at the older version. Callers are best served by the routes that can be read: the odd one is left out (NODB for its database), logged as configuration_entry_rejected, and the others apply in time. A document without a version or without any readable route is refused as before.

--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -415,7 +415,7 @@
     if (change.removed || change.item.key != platform_adapter::configuration_key) {
         return;
     }
-    const platform_adapter::document_result<proxy::configuration> parsed =
+    const platform_adapter::document_result<platform_adapter::configuration_document> parsed =
         platform_adapter::parse_configuration(change.item.value);
     if (!parsed) {
         log(core::log_event::level::error, "configuration_rejected",
@@ -423,7 +423,11 @@
              {"reason", parsed.error().reason}});
         return;
     }
-    handle(proxy::configuration_changed{parsed.value()});
+    for (const std::string& reason : parsed.value().rejected_entries) {
+        log(core::log_event::level::error, "configuration_entry_rejected",
+            {{"revision", std::to_string(change.item.revision)}, {"reason", reason}});
+    }
+    handle(proxy::configuration_changed{parsed.value().configuration});
 }
 
 void session_host::apply_targets(const proxy::registry_follower::update& update) {
