Keep a host running when the reader of its log has ended

A host whose standard output is a pipe was ended by SIGPIPE with the next line of its log after the reader had closed the pipe. SIGPIPE is ignored now, and further lines are lost.

Test first: a_host_outlives_the_reader_of_its_log; before, the process had ended within 1 s of the next line.

--- a/programs/lovagemoord/src/main.cpp
+++ b/programs/lovagemoord/src/main.cpp
@@ -121,6 +121,8 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    // A reader of the log that has ended must not end this process; further lines are lost.
+    std::signal(SIGPIPE, SIG_IGN);
     try {
         gflags::SetUsageMessage("runs a host of the database proxy\n\n"
                                 "  lovagemoord [--sessions] --settings=FILE [--check]\n"
--- a/testbed/include/lovagemoor/testbed/child_process.hpp
+++ b/testbed/include/lovagemoor/testbed/child_process.hpp
@@ -35,6 +35,9 @@
     /// the timeout ends.
     [[nodiscard]] std::string read_output(std::chrono::milliseconds timeout);
 
+    /// @brief Closes the reading end of the program's standard output.
+    void close_output() noexcept;
+
     /// @brief Sends a signal. Does nothing if `wait_for_exit` has already returned an exit code.
     void send_signal(int number);
 
--- a/testbed/src/child_process.cpp
+++ b/testbed/src/child_process.cpp
@@ -101,10 +101,14 @@
         int status = 0;
         waitpid(pid_, &status, 0);
     }
+    close_output();
+    pid_ = -1;
+}
+
+void child_process::close_output() noexcept {
     if (output_ >= 0) {
         close(output_);
     }
-    pid_ = -1;
     output_ = -1;
 }
 
--- a/tests/process/session_host_test.cpp
+++ b/tests/process/session_host_test.cpp
@@ -253,6 +253,20 @@
     BOOST_TEST(session.execute("READ kit-1").front() == "DATAROW blue");
 }
 
+// Guards against a host that ends by SIGPIPE because the reader of its log has ended.
+BOOST_AUTO_TEST_CASE(a_host_outlives_the_reader_of_its_log) {
+    running_host host;
+    caller_session session{host.caller_port()};
+    BOOST_TEST(session.execute("WRITE kit-1 blue").front() == "COMPLETE signed");
+    host.process().close_output();
+    // Makes the host log a line.
+    host.process().send_signal(SIGHUP);
+    BOOST_TEST(!host.process().wait_for_exit(1s).has_value());
+    host.process().send_signal(SIGHUP);
+    BOOST_TEST(!host.process().wait_for_exit(1s).has_value());
+    BOOST_TEST(session.execute("READ kit-1").front() == "DATAROW blue");
+}
+
 // Guards against a host that ends, or no longer follows the list of databases, because of one odd
 // entry: the host started with several of them, and more come while it runs.
 BOOST_AUTO_TEST_CASE(odd_entries_do_not_stop_the_list) {
