--- /dev/null
+++ b/packages/settings/test/session_settings_test.cpp
@@ -0,0 +1,64 @@
+#include <lovagemoor/settings/session_settings.hpp>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace {
+
+namespace settings = lovagemoor::settings;
+
+struct setting_case {
+    std::string name;
+    /// Text of the key `id`, with the line break that ends it.
+    std::string id;
+    bool valid;
+};
+
+std::ostream& operator<<(std::ostream& out, const setting_case& sample) {
+    return out << sample.name;
+}
+
+const std::vector<setting_case> ids{
+    {"letters", "front-be-central-a-1\n", true},
+    {"64 characters", std::string(64, 'h') + "\n", true},
+    {"65 characters", std::string(65, 'h') + "\n", false},
+    {"a space", "h 1\n", false},
+    {"a slash", "a/h1\n", false},
+    {"a carriage return within", "h\r1\n", false},
+    {"a carriage return and a statement", "h1\rQUERY - RESUME\n", false},
+    {"a tab", "h\t1\n", false},
+    {"a NUL",
+     std::string{"h\0"
+                 "1\n",
+                 4},
+     false},
+    {"a colon", "h:1\n", false},
+    {"bytes above ASCII", "h\xc3\xa9\n", false},
+    {"empty", "\n", false},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(session_settings)
+
+// Guards against a host's name that does not stay one field: it stands in STARTUP messages, keys of
+// the registry and a header of promotion calls.
+BOOST_DATA_TEST_CASE(ids_are_one_word, boost::unit_test::data::make(ids)) {
+    std::istringstream input{"[host]\nid = " + sample.id +
+                             "failure_domain = a\n"
+                             "caller_listen = 127.0.0.1:7401\n"
+                             "ready_listen = 127.0.0.1:7402\n"
+                             "[registry]\n"
+                             "address = 127.0.0.1:2379\n"};
+    const settings::result<settings::session_settings> parsed =
+        settings::parse_session_settings(input, "test.ini");
+    BOOST_TEST(parsed.has_value() == sample.valid);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
