Keep time series with separators in their labels apart

A series was identified by its labels, joined by separators that a value may contain: {a="x\nb=y"} and {a="x",b="y"} were counted as one series. Values follow their size now. No label of a host takes its value from a caller today.

Test first: label_values_stay_apart failed for both series; escaping of values was right.

--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -28,13 +28,16 @@
 const prometheus::Histogram::BucketBoundaries duration_buckets{
     0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30};
 
-/// @return A string that identifies a time series. The separators cannot occur in valid names.
+/// @return A string that identifies a time series. The separators cannot occur in valid names but
+/// in values, which therefore follow their size.
 std::string series_key(const std::string& name, const label_list& labels) {
     std::string key = name;
     for (const auto& [label, value] : labels) {
         key += '\n';
         key += label;
         key += '=';
+        key += std::to_string(value.size());
+        key += ':';
         key += value;
     }
     return key;
--- a/packages/telemetry/test/metrics_test.cpp
+++ b/packages/telemetry/test/metrics_test.cpp
@@ -49,6 +49,19 @@
     BOOST_TEST(has_line(text, "requests_total{outcome=\"refused\"} 1"), text);
 }
 
+// Guards against a label's text that is counted as another label: a series was identified by its
+// labels with separators that a value may contain.
+BOOST_AUTO_TEST_CASE(label_values_stay_apart) {
+    metrics registry;
+    registry.perform(core::count_metric{"requests_total", {{"a", "x\nb=y"}}, 1});
+    registry.perform(core::count_metric{"requests_total", {{"a", "x"}, {"b", "y"}}, 2});
+    registry.perform(core::count_metric{"requests_total", {{"a", "q\"\\"}}, 3});
+    const std::string text = registry.render();
+    BOOST_TEST(has_line(text, R"(requests_total{a="x\nb=y"} 1)"), text);
+    BOOST_TEST(has_line(text, R"(requests_total{a="x",b="y"} 2)"), text);
+    BOOST_TEST(has_line(text, R"(requests_total{a="q\"\\"} 3)"), text);
+}
+
 // Guards against a histogram in a unit other than the second, Prometheus' base unit for time.
 BOOST_AUTO_TEST_CASE(durations_are_observed_in_seconds) {
     metrics registry;
