Refuse idempotency keys with a zero byte

The client library of the targets takes a parameter up to its first zero byte, so "k\0l" was stored and found as "k". A request could get the answer of another one with the same content, or a conflict with it.

Test first: row "NUL in a key" of bad_input_is_refused; before, the call reached a target. Statements and their parameters were checked already.

--- a/packages/core/src/call_check.cpp
+++ b/packages/core/src/call_check.cpp
@@ -89,6 +89,10 @@
         if (checked.request.idempotency_key.size() > max_key_bytes) {
             return invalid("idempotency key is too long");
         }
+        // A target stores and finds a key only up to its first zero byte.
+        if (checked.request.idempotency_key.find('\0') != std::string::npos) {
+            return invalid("idempotency key contains a zero byte");
+        }
         checked.request.service = service;
         checked.shard_key = shard_key;
         if (!checked.request.idempotency_key.empty()) {
--- a/packages/core/test/entry_service_test.cpp
+++ b/packages/core/test/entry_service_test.cpp
@@ -58,6 +58,12 @@
          r.idempotency_key = std::string(257, 'k');
      }),
      "refused/invalid_request"},
+    // A target's client library takes a key up to its first NUL, which is another key.
+    {"NUL in a key", changed([](execute_request& r) {
+         r.access = access_mode::write;
+         r.idempotency_key = std::string{"k\0l", 3};
+     }),
+     "refused/invalid_request"},
     {"garbage token", changed([](execute_request& r) { r.session_token = "garbage"; }),
      "refused/invalid_token"},
     {"token of another service",
