Test that malformed messages do not end a host

13 odd texts to the callers' port, 6 to the port of the probes and 14 of a database that claims to be the primary. The process lives on, and the service is served again once the odd entry is gone. This holds without a change.

--- a/tests/process/session_host_test.cpp
+++ b/tests/process/session_host_test.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <csignal>
 #include <cstddef>
 #include <cstdint>
@@ -19,6 +20,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace lovagemoor {
@@ -108,6 +110,8 @@
 
     [[nodiscard]] std::uint16_t caller_port() const { return ports_[0]; }
 
+    [[nodiscard]] std::uint16_t ready_port() const { return ports_[1]; }
+
 private:
     [[nodiscard]] std::string settings_path() const { return (directory_ / "host.ini").string(); }
 
@@ -208,6 +212,66 @@
     int last_query_ = 0;
 };
 
+/// @brief A database that answers each connection with the next of several texts, and runs on a
+/// thread of the test.
+class odd_database {
+public:
+    explicit odd_database(std::vector<std::string> texts)
+        : texts_{std::move(texts)},
+          acceptor_{context_, {boost::asio::ip::make_address("127.0.0.1"), 0}} {
+        accept();
+        thread_ = std::thread{[this] { context_.run(); }};
+    }
+
+    odd_database(const odd_database&) = delete;
+    odd_database& operator=(const odd_database&) = delete;
+    odd_database(odd_database&&) = delete;
+    odd_database& operator=(odd_database&&) = delete;
+
+    ~odd_database() {
+        context_.stop();
+        thread_.join();
+    }
+
+    [[nodiscard]] std::string address() const {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+    [[nodiscard]] std::size_t answered() const { return answered_; }
+
+private:
+    void accept() {
+        acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+            if (error) {
+                return;
+            }
+            boost::system::error_code ignored;
+            boost::asio::write(socket, boost::asio::buffer(texts_[answered_++ % texts_.size()]),
+                               ignored);
+            // Kept open, so that the host reads the text and decides whether to close.
+            sockets_.push_back(std::move(socket));
+            accept();
+        });
+    }
+
+    const std::vector<std::string> texts_;
+    boost::asio::io_context context_;
+    tcp::acceptor acceptor_;
+    std::vector<tcp::socket> sockets_;
+    std::atomic<std::size_t> answered_{0};
+    std::thread thread_;
+};
+
+/// @brief Sends bytes to a port and closes the connection after the peer has had time to read.
+void send_bytes(std::uint16_t port, const std::string& bytes) {
+    boost::asio::io_context context;
+    tcp::socket socket{context};
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+    std::this_thread::sleep_for(20ms);
+}
+
 } // namespace
 
 // Guards against faults on the whole path of a statement, from the caller through the host program
@@ -289,6 +353,75 @@
     BOOST_TEST(answer.front() == "DATAROW blue");
 }
 
+// Guards against one malformed message of a caller, a probe or a database that ends the process
+// (reported by operators of similar systems).
+BOOST_AUTO_TEST_CASE(malformed_messages_do_not_end_the_process) {
+    running_host host;
+    caller_session session{host.caller_port()};
+    BOOST_TEST(session.execute("WRITE kit-1 blue").front() == "COMPLETE signed");
+    const std::string start = "STARTUP orders a\r\n";
+    const std::vector<std::string> to_callers_port{
+        "\r\n",
+        "QUERY\r\n",
+        "QUERY 1 READ x\r\n",
+        std::string(100, '\0') + "\r\n",
+        "STARTUP " + std::string(1'000'000, 'd') + " a\r\n",
+        std::string(3'000'000, 'x'),
+        start + start,
+        start + "QUERY 1 READ x",
+        start + "QUERY 1 BEGIN\r\nQUERY 2 BEGIN\r\nQUERY 3 \xff\xfe\r\nTERMINATE\r\nTERMINATE\r\n",
+        start + "QUERY \xff\xfe READ \xff\xfe\r\n",
+        start + "QUERY 1 SET \xff " + std::string(1'000'000, '\x01') + "\r\nQUERY 2 READ x\r\n",
+        start + "QUERY 1 PREPARE \x01 READ \x02\r\nQUERY 2 EXECUTE \x01 \x03\r\n",
+        start + "QUERY " + std::string(1'000'000, 'i') + " READ x\r\n",
+    };
+    for (const std::string& bytes : to_callers_port) {
+        send_bytes(host.caller_port(), bytes);
+    }
+    for (const std::string& bytes : std::vector<std::string>{
+             "\r\n\r\n", "GET\r\n\r\n", "\xff\xfe\r\n\r\n",
+             "GET /v1/ready HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+             "GET /v1/ready HTTP/1.1\r\nA: " + std::string(1'000'000, 'a') + "\r\n\r\n",
+             "POST /\r\n HTTP/9.9\r\n\r\n"}) {
+        send_bytes(host.ready_port(), bytes);
+    }
+    const std::string greeting = "READY I -\r\n";
+    const std::vector<std::string> from_database{
+        greeting + greeting + greeting,
+        greeting + "COMPLETE -\r\n" + greeting,
+        greeting + "DATAROW x\r\nCOMPLETE s\r\nREADY T 1.1\r\nREADY E -\r\n",
+        greeting + "ERROR\r\n" + greeting,
+        greeting + "ERROR NOPREPARED \xff\r\nREADY E 18446744073709551615.1\r\n",
+        greeting + "DATAROW primary 18446744073709551615 3.1 0 1 2 3\r\nCOMPLETE -\r\n" + greeting,
+        "READY\r\n",
+        "READY X -\r\n",
+        "ERROR\r\n",
+        "DATAROW x\r\n",
+        "\r\n",
+        std::string(3'000'000, 'x'),
+        std::string(1000, '\0') + "\r\n",
+        "READY I 99999999999999999999999.1\r\n",
+    };
+    odd_database odd{from_database};
+    host.put("servers/odd-1", R"({"service":"s","address":")" + odd.address() +
+                                  R"(","zone":"a","slots":2,"state":"ready","db_role":"primary"})");
+    for (int round = 0; round < 100 && odd.answered() < from_database.size(); ++round) {
+        BOOST_TEST(!host.process().wait_for_exit(100ms).has_value());
+        static_cast<void>(session.execute("READ kit-1"));
+    }
+    BOOST_TEST(odd.answered() > 0U);
+    BOOST_TEST_MESSAGE("connections that the odd database answered: " << odd.answered());
+    host.put("servers/odd-1", "{}");
+    std::vector<std::string> answer;
+    for (int attempt = 0; attempt < 100 && (answer.empty() || answer.front() != "DATAROW blue");
+         ++attempt) {
+        std::this_thread::sleep_for(100ms);
+        answer = session.execute("READ kit-1");
+    }
+    BOOST_TEST(answer.front() == "DATAROW blue");
+    BOOST_TEST(!host.process().wait_for_exit(100ms).has_value());
+}
+
 // Guards against an entry below another key that takes the place of a database's own entry.
 BOOST_AUTO_TEST_CASE(an_entry_below_another_key_names_no_database) {
     running_host host;
