--- a/packages/settings/test/session_settings_test.cpp
+++ b/packages/settings/test/session_settings_test.cpp
@@ -15,8 +15,8 @@
 
 struct setting_case {
     std::string name;
-    /// Text of the key `id`, with the line break that ends it.
-    std::string id;
+    /// Text of the key; for `id` with the line break that ends it.
+    std::string text;
     bool valid;
 };
 
@@ -43,6 +43,18 @@
     {"empty", "\n", false},
 };
 
+const std::vector<setting_case> grace_times{
+    {"seconds", "3", true},
+    {"a fraction", "0.5", true},
+    {"too long", "60.1", false},
+    {"negative", "-1", false},
+    {"no number", "nan", false},
+    {"infinite", "inf", false},
+    {"beyond a double", "1e999", false},
+    {"with a unit", "3s", false},
+    {"two numbers", "3 4", false},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(session_settings)
@@ -50,7 +62,7 @@
 // Guards against a host's name that does not stay one field: it stands in STARTUP messages, keys of
 // the registry and a header of promotion calls.
 BOOST_DATA_TEST_CASE(ids_are_one_word, boost::unit_test::data::make(ids)) {
-    std::istringstream input{"[host]\nid = " + sample.id +
+    std::istringstream input{"[host]\nid = " + sample.text +
                              "failure_domain = a\n"
                              "caller_listen = 127.0.0.1:7401\n"
                              "ready_listen = 127.0.0.1:7402\n"
@@ -61,4 +73,18 @@
     BOOST_TEST(parsed.has_value() == sample.valid);
 }
 
+// Guards against a time that is no number: its conversion to whole milliseconds is undefined.
+BOOST_DATA_TEST_CASE(grace_times_are_numbers, boost::unit_test::data::make(grace_times)) {
+    std::istringstream input{"[host]\nid = h1\nfailure_domain = a\n"
+                             "caller_listen = 127.0.0.1:7401\n"
+                             "ready_listen = 127.0.0.1:7402\n"
+                             "stop_grace_s = " +
+                             sample.text +
+                             "\n[registry]\n"
+                             "address = 127.0.0.1:2379\n"};
+    const settings::result<settings::session_settings> parsed =
+        settings::parse_session_settings(input, "test.ini");
+    BOOST_TEST(parsed.has_value() == sample.valid);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
