Accept IPv6 addresses in brackets where the settings do

The settings accept "[::1]:80" and refuse other forms of IPv6, but a host could not decode it: it ended at its start, or with its first call to the registry.

Test first: row "[::1]:80" of addresses_are_decoded_or_refused (1 of 17).

--- a/packages/gateway/src/address.cpp
+++ b/packages/gateway/src/address.cpp
@@ -20,7 +20,11 @@
             boost::system::errc::make_error_code(boost::system::errc::invalid_argument),
             "address \"" + address + "\" is not ip:port"};
     }
-    return {boost::asio::ip::make_address(address.substr(0, colon)), port};
+    const std::string ip = address.substr(0, colon);
+    if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']') {
+        return {boost::asio::ip::make_address_v6(ip.substr(1, ip.size() - 2)), port};
+    }
+    return {boost::asio::ip::make_address(ip), port};
 }
 
 } // namespace lovagemoor::gateway
