Cut off values above 4096 bytes in log lines

The id of a statement, up to 1 MiB and chosen by the caller, was written in full with each refusal, timeout or retry.

Test first: long_values_are_cut_off; before, the line had 1,008,265 bytes.

--- a/packages/telemetry/src/log_line.cpp
+++ b/packages/telemetry/src/log_line.cpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <cstdio>
 #include <ctime>
+#include <string>
+#include <string_view>
 
 namespace lovagemoor::telemetry {
 
@@ -10,6 +12,23 @@
 
 namespace {
 
+/// Longest value that is written in full, above those of the hosts' own texts. A caller chooses the
+/// id of a statement, which has up to 1 MiB.
+constexpr std::size_t max_value_bytes = 4096;
+
+/// @return The value, or its start and its size.
+std::string shortened(std::string_view value) {
+    if (value.size() <= max_value_bytes) {
+        return std::string{value};
+    }
+    std::size_t length = max_value_bytes;
+    // The bytes 0x80 to 0xbf continue a character in UTF-8.
+    while (length > 0 && (static_cast<unsigned char>(value[length]) & 0xc0U) == 0x80U) {
+        --length;
+    }
+    return std::string{value.substr(0, length)} + "...[" + std::to_string(value.size()) + " bytes]";
+}
+
 bool is_control(char character) noexcept {
     const auto code = static_cast<unsigned char>(character);
     return code < 0x20 || code == 0x7f;
@@ -115,7 +134,7 @@
     internal::append_pair(line, "event", event.name);
     internal::append_pair(line, "host", host.value);
     for (const auto& [name, value] : event.fields) {
-        internal::append_pair(line, name, value);
+        internal::append_pair(line, name, internal::shortened(value));
     }
     return line;
 }
--- a/packages/telemetry/test/logger_test.cpp
+++ b/packages/telemetry/test/logger_test.cpp
@@ -60,6 +60,21 @@
     BOOST_TEST(line.ends_with(" key=" + sample.printed), line);
 }
 
+// Guards against log lines of a megabyte: the id of a statement, which a caller chooses, is logged
+// with each refusal.
+BOOST_AUTO_TEST_CASE(long_values_are_cut_off) {
+    const core::log_event event{level::info,
+                                "e",
+                                {{"id", std::string(1'000'000, 'i')},
+                                 {"kept", std::string(4096, 'k')},
+                                 {"cut", std::string(4095, 'c') + "\xc3\xa9"}}};
+    const std::string line = telemetry::format_log_line(event, {"h1"}, {});
+    BOOST_TEST(line.find(" id=\"" + std::string(4096, 'i') +
+                         "...[1000000 bytes]\" kept=" + std::string(4096, 'k') + " cut=\"" +
+                         std::string(4095, 'c') + "...[4097 bytes]\"") != std::string::npos);
+    BOOST_TEST(line.size() < 20'000U);
+}
+
 // Guards against lines in another logger's output, and against lines lost when a logger ends.
 BOOST_AUTO_TEST_CASE(each_logger_writes_its_own_lines) {
     std::ostringstream first_output;
