Pause before accepting again when no file descriptor is free

Each attempt to accept a connection fails at once while the process has no free descriptor, and both listeners tried again without a pause: a busy loop on the only thread of a session host.

--- a/packages/gateway/include/lovagemoor/gateway/caller_listener.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/caller_listener.hpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
 #include <functional>
@@ -47,12 +48,15 @@
 
 private:
     void accept();
+    /// Accepts again after accept_retry_pause.
+    void retry_accept();
     void add_session(boost::asio::ip::tcp::socket socket);
     void on_line(proxy::session_id session, std::string_view line);
     void reject(proxy::session_id session, proxy::statement_error error);
     [[nodiscard]] std::string& output_of(proxy::session_id session);
 
     boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer retry_timer_;
     std::size_t max_sessions_;
     statement_codec codec_;
     event_sink sink_;
--- a/packages/gateway/include/lovagemoor/gateway/http_server.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/http_server.hpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -42,8 +43,11 @@
 
 private:
     void accept();
+    /// Accepts again after accept_retry_pause.
+    void retry_accept();
 
     boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer retry_timer_;
     handler respond_;
 };
 
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -12,6 +12,7 @@
 caller_listener::caller_listener(boost::asio::io_context& context, const std::string& address,
                                  std::size_t max_sessions, statement_codec codec, event_sink sink)
     : acceptor_{context, parse_endpoint(address)},
+      retry_timer_{context},
       max_sessions_{max_sessions},
       codec_{std::move(codec)},
       sink_{std::move(sink)} {
@@ -24,13 +25,26 @@
             if (error == boost::asio::error::operation_aborted) {
                 return;
             }
-            if (!error && callers_.size() < max_sessions_) {
+            if (error) {
+                retry_accept();
+                return;
+            }
+            if (callers_.size() < max_sessions_) {
                 add_session(std::move(socket));
             }
             accept();
         });
 }
 
+void caller_listener::retry_accept() {
+    retry_timer_.expires_after(accept_retry_pause);
+    retry_timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            accept();
+        }
+    });
+}
+
 void caller_listener::add_session(boost::asio::ip::tcp::socket socket) {
     configure_socket(socket);
     const proxy::session_id session = ++last_session_;
--- a/packages/gateway/src/http_server.cpp
+++ b/packages/gateway/src/http_server.cpp
@@ -106,7 +106,9 @@
 
 http_server::http_server(boost::asio::io_context& context, const std::string& address,
                          handler respond)
-    : acceptor_{context, parse_endpoint(address)}, respond_{std::move(respond)} {
+    : acceptor_{context, parse_endpoint(address)},
+      retry_timer_{context},
+      respond_{std::move(respond)} {
     accept();
 }
 
@@ -116,11 +118,22 @@
             if (error == boost::asio::error::operation_aborted) {
                 return;
             }
-            if (!error) {
-                std::make_shared<internal::server_connection>(std::move(socket), respond_)->read();
+            if (error) {
+                retry_accept();
+                return;
             }
+            std::make_shared<internal::server_connection>(std::move(socket), respond_)->read();
             accept();
         });
 }
 
+void http_server::retry_accept() {
+    retry_timer_.expires_after(accept_retry_pause);
+    retry_timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            accept();
+        }
+    });
+}
+
 } // namespace lovagemoor::gateway
