Send nothing new to a drained primary whose entry was removed

A removed target is used for 2.5 s in case its entry comes back, which also held for a draining primary whose notice had ended: it was used again when it left (DRAIN). Change: the limit on the use of a draining target holds whether it is listed or not. A removed target is still forgotten after 2.5 s only. Evidence: a_drained_primary_that_left_is_not_used failed (the write ran there) and passes.

--- a/packages/proxy/src/engine/session_engine_periodic.cpp
+++ b/packages/proxy/src/engine/session_engine_periodic.cpp
@@ -137,7 +137,8 @@
     for (auto& [id, target] : pool_.targets()) {
         if (!target.removed_at.has_value()) {
             maintain_connection(target);
-        } else if (!usable(target) && target.in_use == 0 && !may_hold_commits(target)) {
+        } else if (now_ - *target.removed_at >= settings_.removal_grace && target.in_use == 0 &&
+                   !may_hold_commits(target)) {
             gone.push_back(id);
         }
     }
--- a/packages/proxy/src/engine/session_engine_requests.cpp
+++ b/packages/proxy/src/engine/session_engine_requests.cpp
@@ -109,8 +109,8 @@
 }
 
 bool session_engine::usable(const target_state& target) const {
-    if (target.removed_at.has_value()) {
-        return now_ - *target.removed_at < settings_.removal_grace;
+    if (target.removed_at.has_value() && now_ - *target.removed_at >= settings_.removal_grace) {
+        return false;
     }
     if (!target.record.draining) {
         return true;
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -1283,4 +1283,28 @@
     BOOST_TEST(cluster.is_closed(caller));
 }
 
+namespace {
+
+void drain(fake_cluster& cluster, const core::target_id& id) {
+    cluster.targets.at(id).record.draining = true;
+    cluster.apply(target_changed{cluster.targets.at(id).record});
+}
+
+} // namespace
+
+// Guards against new statements at a draining primary after the end of its notice: its entry is
+// removed then, and a removed target is used for a moment in case it returns (DRAIN).
+BOOST_AUTO_TEST_CASE(a_drained_primary_that_left_is_not_used) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    drain(cluster, t0);
+    cluster.run_for(7s);
+    cluster.apply(target_removed{t0});
+    const std::string write = cluster.send(caller, kind::write, "x");
+    cluster.run_for(500ms);
+    BOOST_TEST(cluster.ran_at(write).empty());
+}
+
 } // namespace lovagemoor::proxy
