Keep the demotion of a target that the registry removed

A host forgot the demotion with the target. If an older copy of the registry, or a late entry, listed the former primary again, its claim made it the primary, and a commit of a replaced primary was acknowledged. Change: only a later term ends a demotion. Evidence: a_demotion_is_remembered_when_its_target_is_forgotten failed (the write ran at the former primary) and passes; a_removed_target_stays_demoted is new.

--- a/packages/proxy/include/lovagemoor/proxy/routing/primary_view.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/routing/primary_view.hpp
@@ -46,7 +46,8 @@
     /// another target has led since, or the target was demoted.
     [[nodiscard]] bool superseded(const core::target_id& target, core::term_number term) const;
 
-    /// @brief A target was removed.
+    /// @brief A target was removed. Its demotion still holds if it is listed again: only a later
+    /// term ends it.
     void on_removed(const core::target_id& target);
 
     /// @return Empty if no target is known to be the primary.
--- a/packages/proxy/src/routing/primary_view.cpp
+++ b/packages/proxy/src/routing/primary_view.cpp
@@ -68,7 +68,6 @@
 
 void primary_view::on_removed(const core::target_id& target) {
     claimants_.erase(target);
-    demoted_.erase(target);
     if (primary_ == target) {
         choose_claimant(&target);
     }
--- a/packages/proxy/test/engine/fake_cluster.hpp
+++ b/packages/proxy/test/engine/fake_cluster.hpp
@@ -125,6 +125,22 @@
         apply(listed);
     }
 
+    /// @brief The registry comes back from an older copy, and the host lists its targets.
+    void restore_registry(const std::vector<target_record>& copy) {
+        ++era_;
+        apply(registry_restored{era_ - 1, era_});
+        apply(targets_listed{copy});
+    }
+
+    /// @return The entries of all targets as they are now.
+    [[nodiscard]] std::vector<target_record> entries() const {
+        std::vector<target_record> records;
+        for (const auto& [id, known] : targets) {
+            records.push_back(known.record);
+        }
+        return records;
+    }
+
     session_id open(const std::string& database) {
         const session_id id = ++last_session_;
         session_databases_[id] = database;
@@ -802,6 +818,7 @@
     /// The target that was promoted last.
     core::target_id leader_{"t0"};
     std::vector<primary_demotion> demotions_;
+    registry_era era_ = 1;
     std::vector<action> performed_;
     std::vector<std::string> violations_;
 };
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -1285,6 +1285,13 @@
 
 namespace {
 
+/// @brief A target leaves, and the host learns of it and forgets it.
+void leave(fake_cluster& cluster, const core::target_id& id) {
+    cluster.unlisted.insert(id);
+    cluster.apply(target_removed{id});
+    cluster.run_for(3s);
+}
+
 void drain(fake_cluster& cluster, const core::target_id& id) {
     cluster.targets.at(id).record.draining = true;
     cluster.apply(target_changed{cluster.targets.at(id).record});
@@ -1307,4 +1314,24 @@
     BOOST_TEST(cluster.ran_at(write).empty());
 }
 
+// Guards against taking a demoted target for the primary because the host has forgotten it: an
+// older copy lists it as the primary again, and its demotion may be gone there.
+BOOST_AUTO_TEST_CASE(a_demotion_is_remembered_when_its_target_is_forgotten) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    const target_record former = cluster.targets.at(t0).record;
+    cluster.targets.at(t0).reachable = false;
+    cluster.announce(t0);
+    cluster.promote(t1, t0);
+    cluster.disconnect(t0);
+    leave(cluster, t0);
+    cluster.targets.at(t0).reachable = true;
+    cluster.restore_registry({former, cluster.targets.at(t2).record});
+    cluster.apply(target_changed{former});
+    const std::string write = cluster.send(caller, kind::write, "x");
+    cluster.run_for(500ms);
+    BOOST_TEST((cluster.ran_at(write) != std::vector<core::target_id>{t0}));
+    BOOST_TEST(cluster.violations().empty());
+}
+
 } // namespace lovagemoor::proxy
--- a/packages/proxy/test/routing/primary_view_test.cpp
+++ b/packages/proxy/test/routing/primary_view_test.cpp
@@ -57,6 +57,18 @@
     BOOST_TEST(primary_of(view) == "none");
 }
 
+// Guards against a former primary that leads again because its entry was removed and came back.
+BOOST_AUTO_TEST_CASE(a_removed_target_stays_demoted) {
+    primary_view view;
+    view.on_claim(a, true);
+    view.on_demoted(a, 2);
+    view.on_removed(a);
+    view.on_claim(a, true);
+    BOOST_TEST(primary_of(view) == "none");
+    BOOST_TEST(!view.on_confirmed(a, 1));
+    BOOST_TEST(view.on_confirmed(a, 2));
+}
+
 // Guards against returning to a former primary that still considers itself the primary: positions
 // carry the term of the last commit, so both may show the same one.
 BOOST_AUTO_TEST_CASE(a_confirmation_of_the_same_term_does_not_replace_a_primary) {
