Hold entries of targets that an older copy of the registry brings back

In a copy, a target that drains or has left is ready again, its address may belong to another, its process may be a former one and its role an earlier one. A host took the list of the new era at its word. Change: copied_entries judges each entry of the first list after a return, and those of later lists that equal it, by what the host knows. The state of a known process is kept but for a new notice that it drains; the entry of one that has left, or whose address a later process has, waits until the target changes it or 6 s have passed. A claim does not replace a proven primary. The same process never returns from draining to ready, also if the host had forgotten it: departed_targets remembers it for 10 minutes.

--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -9,6 +9,8 @@
 #include <lovagemoor/proxy/pool/connection_share.hpp>
 #include <lovagemoor/proxy/pool/target_pool.hpp>
 #include <lovagemoor/proxy/promotion/failover_coordinator.hpp>
+#include <lovagemoor/proxy/registry/copied_entries.hpp>
+#include <lovagemoor/proxy/registry/departed_targets.hpp>
 #include <lovagemoor/proxy/routing/primary_checks.hpp>
 #include <lovagemoor/proxy/routing/primary_view.hpp>
 #include <lovagemoor/proxy/session/session.hpp>
@@ -241,7 +243,15 @@
     void record_latency(target_state& target, core::duration taken);
 
     // Registry, session_engine_registry.cpp
-    void apply_target(const target_record& record);
+    void apply_target(const target_record& listed);
+    /// @brief Uses an entry of a list that may be that of an older copy of the registry.
+    void apply_copied_entry(const target_record& listed);
+    [[nodiscard]] target_knowledge knowledge_of(const target_record& listed) const;
+    /// @return The entry, draining if its process is known to drain: it does not become ready
+    /// again.
+    [[nodiscard]] target_record with_known_drain(const target_record& listed) const;
+    /// @brief Uses the entries that were held back and are still listed.
+    void apply_held_entries();
     void mark_target_removed(const core::target_id& id);
     void forget_target(const core::target_id& id);
     /// @return True if another target of the service has taken over the address of the target, and
@@ -331,6 +341,8 @@
     /// Sessions that may start a waiting statement.
     std::deque<session_id> resumable_;
     target_pool pool_;
+    copied_entries copied_entries_;
+    departed_targets departed_targets_;
     std::map<core::service_id, service_state> services_;
     std::optional<configuration> configuration_;
     std::map<core::host_id, host_state> hosts_;
--- a/packages/proxy/src/engine/session_engine.cpp
+++ b/packages/proxy/src/engine/session_engine.cpp
@@ -104,6 +104,7 @@
     enforce_time_limits();
     close_unneeded_connections();
     update_startup();
+    apply_held_entries();
     update_targets();
     forget_removed_hosts();
     update_isolation();
--- a/packages/proxy/src/engine/session_engine_promotion.cpp
+++ b/packages/proxy/src/engine/session_engine_promotion.cpp
@@ -344,6 +344,7 @@
     log(core::log_event::level::warning, "registry_restored",
         {{"previous_era", std::to_string(input.previous)}, {"era", std::to_string(input.current)}});
     count("lovagemoor_registry_era_changes_total", {});
+    copied_entries_.on_restored();
 }
 
 void session_engine::apply_demotion(const primary_demotion& demotion) {
--- a/packages/proxy/src/engine/session_engine_registry.cpp
+++ b/packages/proxy/src/engine/session_engine_registry.cpp
@@ -21,9 +21,14 @@
 
 void session_engine::on(const targets_listed& input) {
     std::set<core::target_id> listed;
+    const std::vector<core::target_id> copied = copied_entries_.on_listed(now_, input.targets);
     for (const target_record& record : input.targets) {
         listed.insert(record.id);
-        apply_target(record);
+        if (std::find(copied.begin(), copied.end(), record.id) == copied.end()) {
+            apply_target(record);
+        } else {
+            apply_copied_entry(record);
+        }
     }
     std::vector<core::target_id> missing;
     for (const auto& [id, state] : pool_.targets()) {
@@ -39,14 +44,70 @@
 }
 
 void session_engine::on(const target_changed& input) {
+    copied_entries_.on_changed(input.target.id);
     apply_target(input.target);
 }
 
 void session_engine::on(const target_removed& input) {
+    copied_entries_.on_changed(input.target);
     mark_target_removed(input.target);
 }
 
-void session_engine::apply_target(const target_record& record) {
+void session_engine::apply_copied_entry(const target_record& listed) {
+    const copied_entry_use use = judge_copied_entry(listed, knowledge_of(listed));
+    if (use.now.has_value()) {
+        apply_target(*use.now);
+    }
+    if (use.later) {
+        log(core::log_event::level::info, "target_entry_held",
+            {{"target", listed.id.value},
+             {"service", listed.service.value},
+             {"claims_primary", listed.claims_primary ? "true" : "false"}});
+        copied_entries_.hold(now_, listed);
+    }
+}
+
+target_knowledge session_engine::knowledge_of(const target_record& listed) const {
+    target_knowledge known;
+    const auto state = pool_.targets().find(listed.id);
+    if (state != pool_.targets().end()) {
+        known.record = state->second.record;
+        known.left = state->second.removed_at.has_value();
+    } else if (const auto* const departed = departed_targets_.find(listed.id)) {
+        known.record = departed->record;
+        known.left = true;
+    }
+    known.address_reused =
+        std::any_of(pool_.targets().begin(), pool_.targets().end(), [&](const auto& entry) {
+            const target_state& other = entry.second;
+            return !other.removed_at.has_value() && other.record.id != listed.id &&
+                   other.record.address == listed.address &&
+                   other.record.started_ms > listed.started_ms;
+        });
+    const auto service = services_.find(listed.service);
+    known.other_primary_confirmed = service != services_.end() &&
+                                    service->second.view.confirmed() &&
+                                    service->second.view.primary() != listed.id;
+    return known;
+}
+
+target_record session_engine::with_known_drain(const target_record& listed) const {
+    target_record record = listed;
+    const target_knowledge known = knowledge_of(listed);
+    record.draining = listed.draining || (known.record.has_value() && known.record->draining &&
+                                          known.record->started_ms == listed.started_ms);
+    return record;
+}
+
+void session_engine::apply_held_entries() {
+    for (const target_record& record : copied_entries_.due(now_)) {
+        apply_target(record);
+    }
+    departed_targets_.expire(now_);
+}
+
+void session_engine::apply_target(const target_record& listed) {
+    const target_record record = with_known_drain(listed);
     const target_state* const known = pool_.find(record.id);
     if (known == nullptr || known->record != record || known->removed_at.has_value()) {
         log(core::log_event::level::info, "target_updated",
@@ -62,6 +123,12 @@
         out_.emplace_back(close_target{obsolete.id});
         on_connection_lost(obsolete, obsolete.phase != connection_phase::opening);
     }
+    if (const auto* const departed = departed_targets_.find(record.id)) {
+        if (departed->record.draining && departed->record.started_ms == record.started_ms) {
+            pool_.find(record.id)->draining_since = departed->draining_since;
+        }
+        departed_targets_.erase(record.id);
+    }
     service_state& state = services_[record.service];
     const std::optional<core::target_id> former = state.view.primary();
     state.view.on_claim(record.id, record.claims_primary);
@@ -115,6 +182,8 @@
 
 void session_engine::forget_target(const core::target_id& id) {
     const target_state* const target = pool_.find(id);
+    departed_targets_.remember(
+        {target->record, target->draining_since, target->removed_at.value_or(now_)});
     services_[target->record.service].view.on_removed(id);
     for (const target_connection& orphan : pool_.remove(id)) {
         out_.emplace_back(close_target{orphan.id});
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -1285,6 +1285,28 @@
 
 namespace {
 
+/// @brief Sends a read that accepts staleness every 50 ms.
+/// @return Targets that ran one.
+std::set<core::target_id> read_for(fake_cluster& cluster, core::duration time) {
+    std::set<core::target_id> ran;
+    for (const core::time_point end = cluster.now() + time; cluster.now() < end;) {
+        const std::string read = cluster.send(cluster.open("bounded"), kind::read, "x");
+        cluster.run_for(50ms);
+        for (const core::target_id& target : cluster.ran_at(read)) {
+            ran.insert(target);
+        }
+    }
+    return ran;
+}
+
+/// @brief Only t1 has free slots, so every read that may run there does.
+fake_cluster started_with_one_free_replica() {
+    fake_cluster cluster = started();
+    cluster.targets.at(t0).busy = true;
+    cluster.targets.at(t2).busy = true;
+    return cluster;
+}
+
 /// @brief A target leaves, and the host learns of it and forgets it.
 void leave(fake_cluster& cluster, const core::target_id& id) {
     cluster.unlisted.insert(id);
@@ -1299,6 +1321,172 @@
 
 } // namespace
 
+// Guards against new statements at a target that drains or has left, because a copy of the registry
+// lists it as ready again (DRAIN). t1 still runs, as a target may after the end of its notice.
+BOOST_AUTO_TEST_CASE(a_copy_does_not_end_the_draining_of_a_target) {
+    fake_cluster cluster = started_with_one_free_replica();
+    read_for(cluster, 500ms);
+    const std::vector<target_record> copy = cluster.entries();
+    drain(cluster, t1);
+    read_for(cluster, 1s);
+    cluster.restore_registry(copy);
+    BOOST_TEST(!read_for(cluster, 8s).contains(t1));
+    leave(cluster, t1);
+    cluster.restore_registry(copy);
+    const std::size_t connects = cluster.connects_to(t1);
+    BOOST_TEST(!read_for(cluster, 8s).contains(t1));
+    // Even an entry that is written after the return does not make the same process ready again.
+    cluster.apply(target_changed{copy.at(1)});
+    BOOST_TEST(!read_for(cluster, 8s).contains(t1));
+    BOOST_TEST(connects + 1 >= cluster.connects_to(t1));
+    // Its next process does not drain.
+    target_record next = copy.at(1);
+    next.started_ms = 2;
+    cluster.apply(target_changed{next});
+    BOOST_TEST(read_for(cluster, 3s).contains(t1));
+}
+
+namespace {
+
+struct returned_entry_case {
+    const char* name;
+    /// What happens after the list of the copy.
+    std::function<void(fake_cluster&, const target_record&)> happens;
+    bool used_early;
+    bool used_in_the_end;
+
+    friend std::ostream& operator<<(std::ostream& output, const returned_entry_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<returned_entry_case> returned_entries{
+    {"the registry removes the entry",
+     [](fake_cluster& cluster, const target_record& entry) {
+         cluster.run_for(1s);
+         cluster.apply(target_removed{entry.id});
+     },
+     false, false},
+    {"the next list lacks the entry",
+     [](fake_cluster& cluster, const target_record&) {
+         cluster.run_for(1s);
+         cluster.list_targets();
+     },
+     false, false},
+    {"the target writes its entry",
+     [](fake_cluster& cluster, const target_record& entry) {
+         cluster.apply(target_changed{entry});
+     },
+     true, true},
+    {"the next list has another entry",
+     [](fake_cluster& cluster, const target_record& entry) {
+         target_record changed = entry;
+         changed.slots = 6;
+         cluster.apply(targets_listed{
+             {cluster.targets.at(t0).record, changed, cluster.targets.at(t2).record}});
+     },
+     true, true},
+    {"the entry stays", [](fake_cluster&, const target_record&) {}, false, true},
+    {"the registry comes back once more",
+     [](fake_cluster& cluster, const target_record&) {
+         cluster.run_for(1s);
+         cluster.restore_registry(cluster.entries());
+     },
+     false, true},
+};
+
+} // namespace
+
+// Guards against using a target that has left on the word of an older copy of the registry alone,
+// and against leaving out one that lives.
+BOOST_DATA_TEST_CASE(a_target_that_left_is_used_once_its_entry_is_confirmed,
+                     boost::unit_test::data::make(returned_entries), sample) {
+    fake_cluster cluster = started_with_one_free_replica();
+    const std::vector<target_record> copy = cluster.entries();
+    leave(cluster, t1);
+    const std::size_t connects = cluster.connects_to(t1);
+    cluster.restore_registry(copy);
+    sample.happens(cluster, copy.at(1));
+    BOOST_TEST(read_for(cluster, 2s).contains(t1) == sample.used_early);
+    BOOST_TEST((cluster.connects_to(t1) > connects) == sample.used_early);
+    read_for(cluster, 5s);
+    BOOST_TEST(read_for(cluster, 1s).contains(t1) == sample.used_in_the_end);
+    BOOST_TEST(cluster.violations().empty());
+}
+
+// Guards against connects to the address of another target under the id of one that had it before,
+// and against dropping a target that the copy lacks because it is new.
+BOOST_AUTO_TEST_CASE(an_address_that_another_target_has_is_not_connected_to_under_the_old_id) {
+    fake_cluster cluster = started_with_one_free_replica();
+    const std::vector<target_record> copy = cluster.entries();
+    const core::target_id t3{"t3"};
+    fake_cluster::target added = cluster.targets.at(t1);
+    added.record.id = t3;
+    added.record.started_ms = 5;
+    cluster.targets[t3] = added;
+    cluster.targets.erase(t1);
+    cluster.list_targets();
+    read_for(cluster, 1s);
+    const std::size_t connects = cluster.connects_to(t1);
+    cluster.restore_registry(copy);
+    BOOST_TEST(read_for(cluster, 2s).contains(t3));
+    cluster.apply(target_changed{cluster.targets.at(t3).record});
+    cluster.apply(target_removed{t1});
+    BOOST_TEST(read_for(cluster, 5s).contains(t3));
+    BOOST_TEST(cluster.connects_to(t1) == connects);
+}
+
+// Guards against statements that wait or are refused because a copy names a former primary.
+BOOST_AUTO_TEST_CASE(a_role_in_a_copy_does_not_replace_the_primary) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    std::vector<target_record> copy = cluster.entries();
+    cluster.promote(t1);
+    read_for(cluster, 1s);
+    cluster.restore_registry(copy);
+    for (int index = 0; index < 5; ++index) {
+        const std::string write = cluster.send(caller, kind::write, "x");
+        cluster.run_for(30ms);
+        BOOST_TEST(error_of(cluster, write) == "");
+        BOOST_TEST((cluster.ran_at(write) == std::vector<core::target_id>{t1}));
+    }
+    // A host that started after the former primary left has never heard of it.
+    target_record unknown = copy.at(0);
+    unknown.id = core::target_id{"t9"};
+    unknown.address = "10.0.0.9:1";
+    copy.push_back(unknown);
+    cluster.restore_registry(copy);
+    const std::string write = cluster.send(caller, kind::write, "x");
+    cluster.run_for(30ms);
+    BOOST_TEST(error_of(cluster, write) == "");
+    BOOST_TEST(cluster.violations().empty());
+}
+
+// Guards against a service without targets because the entries come back up to two seconds late.
+BOOST_AUTO_TEST_CASE(targets_that_a_copy_lacks_are_used_until_their_entries_are_back) {
+    fake_cluster cluster = started();
+    const session_id bounded = cluster.open("bounded");
+    const session_id latest = cluster.open("latest");
+    const std::size_t connects = cluster.performed<open_target>().size();
+    cluster.restore_registry({});
+    for (int index = 0; index < 40; ++index) {
+        const std::string read = cluster.send(bounded, kind::read, "x");
+        const std::string write = cluster.send(latest, kind::write, "x");
+        cluster.run_for(50ms);
+        BOOST_TEST(error_of(cluster, read) == "");
+        BOOST_TEST(error_of(cluster, write) == "");
+    }
+    for (const target_record& entry : cluster.entries()) {
+        cluster.apply(target_changed{entry});
+    }
+    cluster.run_for(2s);
+    const std::string write = cluster.send(latest, kind::write, "x");
+    cluster.run_for(50ms);
+    BOOST_TEST(error_of(cluster, write) == "");
+    BOOST_TEST(cluster.performed<open_target>().size() <= connects + 3);
+    BOOST_TEST(cluster.violations().empty());
+}
+
 // Guards against new statements at a draining primary after the end of its notice: its entry is
 // removed then, and a removed target is used for a moment in case it returns (DRAIN).
 BOOST_AUTO_TEST_CASE(a_drained_primary_that_left_is_not_used) {
