Write again the reports and demotions that the registry lost

After a return from an older copy, a host went on believing that its report of a failed primary stood, a withdrawn report counted again, and a demotion that the copy lacked was gone: a host that had been cut off with a former primary listed no demotion and used it. Change: a host publishes its report again while its primary fails, and repeats the withdrawal of one that is less than 60 s old. For 2 s after the return, reports of others count only if the host finds the primary failing too, and a list of demotions renews no lapsed lease. Observers, by rank, announce again a demotion that the list of the new era lacks, on the condition that the item is still the listed one (restore_demotion). Evidence: failed with the reaction to the event disabled, and pass: an_own_report_is_settled_after_a_return_of_the_registry, reports_of_a_copy_do_not_count_against_a_primary_that_serves (2 of 5 rows), a_lost_demotion_is_announced_again (3 of 6 rows), a_list_of_a_copy_does_not_renew_a_lapsed_lease (a commit of the replaced primary was acknowledged). a_return_of_the_registry_does_not_end_the_use_of_a_primary passed before.

--- a/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
@@ -95,6 +95,15 @@
     std::uint64_t fencing_token = 0;
 };
 
+/// @brief Announces again a demotion that the registry lost when it came back from an older copy.
+/// Answered by demotion_restore_answered.
+struct restore_demotion {
+    primary_demotion demotion;
+    /// Revision of the service's item that the copy has, 0 if it has none. The demotion is only
+    /// written if the item is still that one.
+    std::uint64_t listed_revision = 0;
+};
+
 /// @brief Lists the announced demotions, then follows further ones. Answered by demotions_listed.
 struct list_demotions {};
 
@@ -121,9 +130,9 @@
 using action =
     std::variant<accept_session, reject_session, answer_statement, close_session, open_target,
                  send_commands, close_target, publish_suspicion, withdraw_suspicion,
-                 follow_promotions, acquire_promotion_lock, publish_demotion, list_demotions,
-                 contact_registry, promote_target, set_ready, stop_process, core::log_event,
-                 core::count_metric, core::observe_duration>;
+                 follow_promotions, acquire_promotion_lock, publish_demotion, restore_demotion,
+                 list_demotions, contact_registry, promote_target, set_ready, stop_process,
+                 core::log_event, core::count_metric, core::observe_duration>;
 
 using action_list = std::vector<action>;
 
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -209,6 +209,8 @@
     core::service_id service;
     core::target_id target;
     core::term_number term = 0;
+    /// Revision of the item that announces it. 0 if unknown.
+    std::uint64_t revision = 0;
 };
 
 /// @brief A host published a demotion in the registry.
@@ -227,6 +229,12 @@
     bool published = false;
 };
 
+/// @brief Result of restore_demotion.
+struct demotion_restore_answered {
+    core::service_id service;
+    bool restored = false;
+};
+
 /// @}
 
 /// @brief The process was asked to stop.
@@ -242,7 +250,7 @@
                  suspicion_reported, suspicion_withdrawn, suspicion_publish_failed,
                  suspicion_withdrawal_failed, promotion_lock_answered, promotion_lock_taken,
                  promotion_lock_released, promotion_answered, demotion_announced, demotions_listed,
-                 demotion_publish_answered, registry_contacted, registry_reachable,
-                 registry_restored, stop_requested, timer_expired>;
+                 demotion_publish_answered, demotion_restore_answered, registry_contacted,
+                 registry_reachable, registry_restored, stop_requested, timer_expired>;
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -71,10 +71,20 @@
         /// Time of the last completion while other requests waited.
         core::time_point last_completion;
         bool suspicion_published = false;
+        /// The registry has come back from an older copy since the report was published.
+        bool report_may_be_lost = false;
         /// Earliest time at which a failed report is published again.
         core::time_point publish_after;
         /// Time at which a report that may still stand in the registry is withdrawn again.
         std::optional<core::time_point> withdraw_at;
+        /// Time of the last withdrawal of a report of this host.
+        std::optional<core::time_point> withdrawn_at;
+        /// The announced demotion of the highest term that this host knows.
+        std::optional<primary_demotion> demotion;
+        /// Time at which this host announces the demotion again, since the registry has lost it.
+        std::optional<core::time_point> restore_demotion_at;
+        /// Revision of the earlier demotion that the registry lists instead. 0 if it lists none.
+        std::uint64_t listed_demotion_revision = 0;
     };
 
     /// @brief State of another host.
@@ -121,6 +131,7 @@
     void on(const registry_contacted& input);
     void on(const registry_restored& input);
     void on(const demotion_publish_answered& input);
+    void on(const demotion_restore_answered& input);
     void on(const stop_requested& input);
     void on(const timer_expired& input);
 
@@ -310,6 +321,12 @@
     void inspect_target(const core::target_id& target, command_kind kind, core::term_number term);
     void send_pending_inspections();
     void apply_demotion(const primary_demotion& demotion);
+    /// @brief Schedules the announcement of demotions that a list of the registry lacks.
+    void find_lost_demotions(const std::vector<primary_demotion>& listed);
+    void restore_lost_demotion(const core::service_id& id, service_state& state);
+    /// @return True if the registry came back so recently that its items may be those of the copy.
+    [[nodiscard]] bool registry_incomplete(core::time_point at) const;
+    void withdraw_report(const core::service_id& id, service_state& state);
     void demote_former_primaries(const core::service_id& service, const core::target_id& primary);
     /// @return True if the target's reply shows that it no longer leads or may no longer be used as
     /// the primary.
@@ -346,8 +363,6 @@
     std::map<core::service_id, service_state> services_;
     std::optional<configuration> configuration_;
     std::map<core::host_id, host_state> hosts_;
-    /// Targets, hosts or limits have changed since the last update_min_connections().
-    bool min_connections_outdated_ = true;
     /// Incremented whenever the set of live hosts changes.
     std::uint64_t hosts_version_ = 0;
     std::vector<pending_inspection> pending_inspections_;
@@ -358,6 +373,10 @@
     bool targets_known_ = false;
     bool registry_reachable_ = true;
     bool ready_ = false;
+    /// The next list of demotions may lack some that this host knows.
+    bool demotions_may_be_lost_ = false;
+    /// Targets, hosts or limits have changed since the last update_min_connections().
+    bool min_connections_outdated_ = true;
     std::optional<core::time_point> stopping_since_;
     /// Time since which this host reaches no target outside its own failure domain.
     std::optional<core::time_point> isolated_since_;
@@ -370,6 +389,8 @@
     /// Time at which the last answered request was made. The list contains all demotions that had
     /// been announced by then.
     core::time_point demotions_known_at_;
+    /// Time at which this host learned that the registry has come back from an older copy.
+    std::optional<core::time_point> registry_restored_at_;
     core::time_point last_periodic_run_;
     /// Time of the first event.
     std::optional<core::time_point> started_at_;
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
@@ -80,6 +80,14 @@
     /// Time for which a host watches failure reports and the promotion lock after it was last
     /// involved in a failover. Equals the longest time for which the lock may be held.
     std::chrono::milliseconds promotion_follow_time{3000};
+    /// Time after the host learned that the registry has come back from an older copy, within which
+    /// the other hosts have written again what the copy lacks: they learn of the return within 1 s,
+    /// list the items and write them by rank. Until then, what the copy lists of demotions and
+    /// reports is not taken as complete and current.
+    std::chrono::milliseconds registry_restore_time{2000};
+    /// Time for which a withdrawn report may still be in a copy of the registry: the age of a copy
+    /// (up to 10 s) and an outage of the registry.
+    std::chrono::milliseconds withdrawn_report_retention{60000};
     /// Delay before a report that could not be published is published again.
     std::chrono::milliseconds publish_retry{400};
     /// Time within which a lost primary is usually replaced. Covers detection, reports, the
--- a/packages/proxy/src/engine/session_engine_periodic.cpp
+++ b/packages/proxy/src/engine/session_engine_periodic.cpp
@@ -167,6 +167,7 @@
         dispatch_waiting(id);
     }
     repeat_withdrawal(id, state);
+    restore_lost_demotion(id, state);
     if (now_ - state.last_use > internal::service_idle_after) {
         return;
     }
--- a/packages/proxy/src/engine/session_engine_promotion.cpp
+++ b/packages/proxy/src/engine/session_engine_promotion.cpp
@@ -52,18 +52,19 @@
     if (!is_failing(state)) {
         if (std::exchange(state.suspicion_published, false)) {
             log(core::log_event::level::info, "suspicion_withdrawn", {{"service", id.value}});
-            out_.emplace_back(withdraw_suspicion{id});
+            withdraw_report(id, state);
             state.reporters.erase(settings_.host);
         }
         return;
     }
     update_observers(id, state);
     const bool observes = state.observers.contains(settings_.host);
-    if (!observes || state.suspicion_published || now_ < state.publish_after ||
-        !reaches_replica(id, state)) {
+    const bool published = state.suspicion_published && !state.report_may_be_lost;
+    if (!observes || published || now_ < state.publish_after || !reaches_replica(id, state)) {
         return;
     }
     state.suspicion_published = true;
+    state.report_may_be_lost = false;
     const core::target_id primary = state.view.primary().value_or(core::target_id{});
     state.reporters[settings_.host] = primary;
     log(core::log_event::level::warning, "primary_suspected",
@@ -79,12 +80,23 @@
         return;
     }
     state.withdraw_at.reset();
+    withdraw_report(id, state);
+}
+
+void session_engine::withdraw_report(const core::service_id& id, service_state& state) {
+    state.withdrawn_at = now_;
+    state.report_may_be_lost = false;
     out_.emplace_back(withdraw_suspicion{id});
 }
 
 bool session_engine::concerns_primary(const service_state& state,
                                       const core::target_id& suspected) const {
     const std::optional<core::target_id>& primary = state.view.primary();
+    if (registry_incomplete(now_) && !is_failing(state)) {
+        // The report may have been withdrawn since the copy was taken, also if the same target
+        // leads again. Its reporter withdraws it once more.
+        return false;
+    }
     // Reports about a former primary, or from the time without one, are only withdrawn after the
     // new one has confirmed its role.
     return !primary.has_value() || *primary == suspected ||
@@ -332,7 +344,11 @@
     for (const primary_demotion& demotion : input.demotions) {
         apply_demotion(demotion);
     }
-    demotions_known_at_ = demotions_requested_at_.value_or(now_);
+    find_lost_demotions(input.demotions);
+    const core::time_point requested = demotions_requested_at_.value_or(now_);
+    if (!registry_incomplete(requested)) {
+        demotions_known_at_ = requested;
+    }
     dispatch_all_waiting();
 }
 
@@ -345,10 +361,78 @@
         {{"previous_era", std::to_string(input.previous)}, {"era", std::to_string(input.current)}});
     count("lovagemoor_registry_era_changes_total", {});
     copied_entries_.on_restored();
+    registry_restored_at_ = now_;
+    demotions_may_be_lost_ = true;
+    for (auto& [id, state] : services_) {
+        state.restore_demotion_at.reset();
+        state.report_may_be_lost = state.suspicion_published;
+        if (!state.suspicion_published && state.withdrawn_at.has_value() &&
+            now_ - *state.withdrawn_at < settings_.withdrawn_report_retention) {
+            // The copy may have the report.
+            state.withdraw_at = now_;
+        }
+    }
+}
+
+bool session_engine::registry_incomplete(core::time_point at) const {
+    return registry_restored_at_.has_value() &&
+           at - *registry_restored_at_ < settings_.registry_restore_time;
+}
+
+void session_engine::find_lost_demotions(const std::vector<primary_demotion>& listed) {
+    if (!std::exchange(demotions_may_be_lost_, false)) {
+        return;
+    }
+    for (auto& [id, state] : services_) {
+        update_observers(id, state);
+        if (!state.demotion.has_value() || !state.observers.contains(settings_.host)) {
+            continue;
+        }
+        const auto found =
+            std::find_if(listed.begin(), listed.end(),
+                         [&id](const primary_demotion& entry) { return entry.service == id; });
+        if (found != listed.end() && found->term >= state.demotion->term) {
+            continue;
+        }
+        state.listed_demotion_revision = found == listed.end() ? 0 : found->revision;
+        // The first observer writes; the others see its announcement before it is their turn.
+        const std::vector<core::host_id> order =
+            core::rank_hosts(id.value, {state.observers.begin(), state.observers.end()});
+        const auto own = std::find(order.begin(), order.end(), settings_.host);
+        state.restore_demotion_at =
+            now_ + settings_.promotion_rank_delay * std::distance(order.begin(), own);
+    }
+}
+
+void session_engine::restore_lost_demotion(const core::service_id& id, service_state& state) {
+    if (!state.restore_demotion_at.has_value() || now_ < *state.restore_demotion_at) {
+        return;
+    }
+    state.restore_demotion_at.reset();
+    log(core::log_event::level::warning, "demotion_restored",
+        {{"service", id.value},
+         {"target", state.demotion->target.value},
+         {"term", std::to_string(state.demotion->term)}});
+    out_.emplace_back(restore_demotion{*state.demotion, state.listed_demotion_revision});
+}
+
+void session_engine::on(const demotion_restore_answered& input) {
+    if (input.restored) {
+        return;
+    }
+    // Another host may have announced it, or the answer was lost: the next list tells.
+    log(core::log_event::level::warning, "demotion_not_restored",
+        {{"service", input.service.value}});
+    demotions_may_be_lost_ = true;
+    request_demotions();
 }
 
 void session_engine::apply_demotion(const primary_demotion& demotion) {
     service_state& state = services_[demotion.service];
+    if (!state.demotion.has_value() || demotion.term >= state.demotion->term) {
+        state.demotion = demotion;
+        state.restore_demotion_at.reset();
+    }
     if (state.view.superseded(demotion.target, demotion.term - 1) &&
         state.view.primary() != demotion.target) {
         return;
@@ -410,7 +494,7 @@
     service_state& state = services_[report.service];
     if (report.reporter == settings_.host && !state.suspicion_published) {
         // The report was published by a previous process of this host.
-        out_.emplace_back(withdraw_suspicion{report.service});
+        withdraw_report(report.service, state);
         return;
     }
     state.reporters[report.reporter] = report.primary;
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -1522,4 +1522,195 @@
     BOOST_TEST(cluster.violations().empty());
 }
 
+// Guards against a report that is missing in the registry because it has come back from an older
+// copy, and against one that the copy brings back after its withdrawal.
+BOOST_AUTO_TEST_CASE(an_own_report_is_settled_after_a_return_of_the_registry) {
+    fake_cluster cluster = started();
+    const core::service_id service{"s"};
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    cluster.apply(registry_restored{1, 2});
+    cluster.run_for(1s);
+    BOOST_TEST(cluster.performed<withdraw_suspicion>().empty());
+    cluster.targets.at(t0).reachable = false;
+    cluster.disconnect(t0);
+    cluster.run_for(1s);
+    BOOST_REQUIRE(cluster.performed<publish_suspicion>().size() == 1U);
+    cluster.apply(registry_restored{2, 3});
+    cluster.run_for(1s);
+    BOOST_TEST(cluster.performed<publish_suspicion>().size() == 2U);
+    BOOST_TEST(cluster.performed<withdraw_suspicion>().empty());
+    cluster.targets.at(t0).reachable = true;
+    cluster.run_for(2s);
+    BOOST_TEST(cluster.performed<withdraw_suspicion>().size() == 1U);
+    cluster.apply(registry_restored{3, 4});
+    cluster.run_for(1s);
+    BOOST_TEST(cluster.performed<withdraw_suspicion>().size() == 2U);
+    BOOST_TEST(cluster.performed<publish_suspicion>().size() == 2U);
+    // A copy is not old enough to have a report that was withdrawn long ago.
+    cluster.run_for(61s);
+    cluster.apply(registry_restored{4, 5});
+    cluster.run_for(1s);
+    BOOST_TEST(cluster.performed<withdraw_suspicion>().size() == 2U);
+}
+
+namespace {
+
+struct returned_report_case {
+    const char* name;
+    /// Target that the reports of the copy name.
+    core::target_id reported;
+    /// The primary fails after the return.
+    bool fails;
+    /// Other hosts write their reports again after the registry_restore_time.
+    bool repeated;
+    bool demoted;
+
+    friend std::ostream& operator<<(std::ostream& output, const returned_report_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<returned_report_case> returned_reports{
+    {"reports of a former primary", t1, false, false, false},
+    {"reports that name none", {}, false, false, false},
+    {"reports from an earlier failure of the same primary", t0, false, false, false},
+    {"reports of the primary that are repeated", t0, false, true, true},
+    {"reports of a primary that this host finds failing", t0, true, false, true},
+};
+
+} // namespace
+
+// Guards against replacing a primary because of reports that a copy of the registry brings back.
+BOOST_DATA_TEST_CASE(reports_of_a_copy_do_not_count_against_a_primary_that_serves,
+                     boost::unit_test::data::make(returned_reports), sample) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    // This host holds the lock because of another service.
+    cluster.apply(promotion_lock_answered{promotion_lock_result::acquired, 7, 8000ms});
+    cluster.restore_registry(cluster.entries());
+    const core::service_id service{"s"};
+    const suspicions_listed reports{{{service, sample.reported, core::host_id{"host-2"}},
+                                     {service, sample.reported, core::host_id{"host-3"}}}};
+    if (sample.fails) {
+        cluster.targets.at(t0).crashed = true;
+        cluster.disconnect(t0);
+    }
+    cluster.apply(reports);
+    cluster.run_for(1900ms);
+    BOOST_TEST((cluster.performed<publish_demotion>().empty() &&
+                cluster.performed<promote_target>().empty()) == !sample.fails);
+    cluster.apply(suspicions_listed{});
+    cluster.run_for(200ms);
+    if (sample.repeated) {
+        cluster.apply(reports);
+    }
+    cluster.run_for(1s);
+    BOOST_TEST((cluster.performed<promote_target>().empty()) == !sample.demoted);
+}
+
+namespace {
+
+struct lost_demotion_case {
+    const char* name;
+    /// Terms below which t0 must not lead, as the copy lists them. Empty if it lists none.
+    std::optional<core::term_number> listed;
+    /// Another host announces the demotion again first.
+    bool announced;
+    /// Number of failed attempts to announce it.
+    unsigned failures;
+    std::size_t restored;
+
+    friend std::ostream& operator<<(std::ostream& output, const lost_demotion_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<lost_demotion_case> lost_demotions{
+    {"the copy has it", 5, false, 0, 0},
+    {"the copy has a later one", 6, false, 0, 0},
+    {"the copy has an earlier one", 4, false, 0, 1},
+    {"the copy has none", std::nullopt, false, 0, 1},
+    {"another host announces it first", std::nullopt, true, 0, 0},
+    {"an announcement fails", std::nullopt, false, 1, 2},
+};
+
+} // namespace
+
+// Guards against a former primary that hosts take for the primary because the registry has lost its
+// demotion: each host that lists the demotions after a partition must find it.
+BOOST_DATA_TEST_CASE(a_lost_demotion_is_announced_again,
+                     boost::unit_test::data::make(lost_demotions), sample) {
+    fake_cluster cluster = started();
+    const core::service_id service{"s"};
+    cluster.apply(demotion_announced{{service, t0, 5, 40}});
+    cluster.run_for(100ms);
+    cluster.apply(registry_restored{1, 2});
+    demotions_listed list;
+    if (sample.listed.has_value()) {
+        list.demotions.push_back({service, t0, *sample.listed, 30});
+    }
+    cluster.apply(list);
+    if (sample.announced) {
+        cluster.apply(demotion_announced{{service, t0, 5, 41}});
+    }
+    cluster.run_for(400ms);
+    for (unsigned failure = 0; failure < sample.failures; ++failure) {
+        cluster.apply(demotion_restore_answered{service, false});
+        cluster.run_for(500ms);
+        cluster.apply(list);
+        cluster.run_for(400ms);
+    }
+    const std::vector<restore_demotion> restored = cluster.performed<restore_demotion>();
+    BOOST_REQUIRE(restored.size() == sample.restored);
+    for (const restore_demotion& written : restored) {
+        BOOST_TEST((written.demotion.target == t0));
+        BOOST_TEST(written.demotion.term == 5U);
+        BOOST_TEST(written.listed_revision == (sample.listed.has_value() ? 30U : 0U));
+    }
+}
+
+// Guards against the use of a replaced primary by a host that was cut off with it and lists the
+// demotions of a copy that lacks the announcement, before another host has written it again.
+BOOST_AUTO_TEST_CASE(a_list_of_a_copy_does_not_renew_a_lapsed_lease) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    cut_off(cluster, true);
+    cluster.run_for(2s);
+    cluster.promote(t1, t0);
+    cluster.targets.at(t1).reachable = true;
+    cluster.targets.at(t2).reachable = true;
+    cluster.run_for(1500ms);
+    // The announcement is lost.
+    cluster.registry_available = true;
+    cluster.apply(registry_restored{1, 2});
+    const std::string write = cluster.send(caller, kind::write, "y");
+    cluster.run_for(900ms);
+    BOOST_TEST(cluster.ran_at(write).empty());
+    cluster.announce(t0);
+    cluster.run_for(2s);
+    BOOST_TEST((cluster.ran_at(write) != std::vector<core::target_id>{t0}));
+    BOOST_TEST(cluster.violations().empty());
+}
+
+// Guards against statements that are refused because of a return of the registry alone.
+BOOST_AUTO_TEST_CASE(a_return_of_the_registry_does_not_end_the_use_of_a_primary) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    cluster.restore_registry(cluster.entries());
+    for (int index = 0; index < 30; ++index) {
+        const std::string write = cluster.send(caller, kind::write, "y");
+        cluster.run_for(100ms);
+        BOOST_TEST(error_of(cluster, write) == "");
+    }
+    BOOST_TEST(cluster.violations().empty());
+}
+
 } // namespace lovagemoor::proxy
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -505,9 +505,12 @@
 void session_host::apply_demotions(const proxy::registry_follower::update& update) {
     proxy::demotions_listed listed;
     for (const proxy::item_change& change : update.changes) {
-        const std::optional<proxy::primary_demotion> demotion =
+        std::optional<proxy::primary_demotion> demotion =
             change.removed ? std::nullopt
                            : internal::parse_demotion(change.item.key, change.item.value);
+        if (demotion.has_value()) {
+            demotion->revision = change.item.revision;
+        }
         if (demotion.has_value() && update.complete) {
             listed.demotions.push_back(*demotion);
         } else if (demotion.has_value()) {
@@ -632,6 +635,21 @@
     });
 }
 
+void session_host::perform(const proxy::restore_demotion& action) {
+    const proxy::primary_demotion& demotion = action.demotion;
+    const std::string key = std::string{internal::demotions_prefix} + demotion.service.value;
+    // A demotion holds for good, so it needs no lock. The condition keeps a later one.
+    const proxy::write_items announcement{
+        {{key, action.listed_revision}},
+        {{key, std::to_string(demotion.term) + ' ' + demotion.target.value, 0}},
+        {}};
+    registry_client_.write(announcement,
+                           [this, service = demotion.service](const proxy::write_outcome& outcome) {
+                               handle(proxy::demotion_restore_answered{
+                                   service, outcome.status == proxy::registry_status::done});
+                           });
+}
+
 void session_host::perform(const proxy::list_demotions& /*action*/) {
     demotions_follower_ = internal::make_follower(
         internal::demotions_prefix, {.check_interval = internal::watch_check_interval});
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -40,6 +40,7 @@
     void perform(const proxy::follow_promotions& action);
     void perform(const proxy::acquire_promotion_lock& action);
     void perform(const proxy::publish_demotion& action);
+    void perform(const proxy::restore_demotion& action);
     void perform(const proxy::list_demotions& action);
     void perform(const proxy::contact_registry& action);
     void perform(const proxy::promote_target& action);
