Let the stand-in store come back from an older copy

Also looked for, as another operator reported: after a restart of a process, a server that had left or a key that had been withdrawn was in use again. A host keeps nothing across restarts: a_restarted_host_uses_nothing_that_was_withdrawn (process) passed at once.

--- a/packages/gateway/include/lovagemoor/gateway/http_server.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/http_server.hpp
@@ -29,6 +29,8 @@
         std::string body;
         /// Time to wait before the response is sent.
         std::chrono::milliseconds delay{0};
+        /// Further header fields, by name.
+        std::map<std::string, std::string> headers = {};
     };
 
     using handler = std::function<response(const request&)>;
--- a/packages/gateway/src/http_server.cpp
+++ b/packages/gateway/src/http_server.cpp
@@ -80,6 +80,9 @@
         response_.version(request.version());
         response_.result(response.status);
         response_.set(http::field::content_type, response.content_type);
+        for (const auto& [name, value] : response.headers) {
+            response_.set(name, value);
+        }
         response_.keep_alive(request.keep_alive());
         response_.body() = response.body;
         response_.prepare_payload();
--- a/standins/session/include/lovagemoor/session_standins/standin_store.hpp
+++ b/standins/session/include/lovagemoor/session_standins/standin_store.hpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 
@@ -14,7 +15,8 @@
 /// @brief Stand-in for the users' store. It keeps items and leases in memory and answers watches.
 ///
 /// A watch without changes is answered with an empty list after a short delay. A lease expires when
-/// it isn't renewed within its duration, and its items are then removed.
+/// it isn't renewed within its duration, and its items are then removed. The store can come back
+/// from an older copy of its state, which begins a new era; each answer names its era.
 class standin_store {
 public:
     explicit standin_store(boost::asio::io_context& context);
@@ -24,10 +26,25 @@
     /// @brief Writes an item without a lease or a condition, as an operator or a target would.
     void put(const std::string& key, const std::string& value);
 
+    /// @brief Removes an item, as an operator or a target would.
+    void remove(const std::string& key);
+
     /// @brief While set, watches are not answered and their connections stay open. All other calls
     /// are answered.
     void lose_watches(bool lose) noexcept { lose_watches_ = lose; }
 
+    /// @brief While unavailable, all calls are answered with status 503.
+    void set_available(bool available) noexcept { available_ = available; }
+
+    /// @brief The store comes back from a copy of its state. Items, revisions and leases of that
+    /// time hold again; leases granted since are gone. A copy older than the store is its first
+    /// state.
+    /// @param age Age of the copy, at most max_copy_age.
+    void restore_copy(std::chrono::milliseconds age);
+
+    /// Largest age of a copy in a drill.
+    static constexpr std::chrono::seconds max_copy_age{10};
+
     [[nodiscard]] bool contains(const std::string& key) const;
 
 private:
@@ -46,22 +63,40 @@
         std::chrono::steady_clock::time_point expires_at;
     };
 
+    struct state {
+        std::map<std::string, item> items;
+        std::map<std::uint64_t, lease> leases;
+        std::uint64_t revision = 1;
+    };
+
+    struct dated_copy {
+        std::chrono::steady_clock::time_point taken_at;
+        state copied;
+    };
+
     void expire_leases();
+    /// @brief Records the state after a change.
+    void keep_copy();
     void remove(item& stored);
     [[nodiscard]] gateway::http_server::response grant_lease(const std::string& body);
     [[nodiscard]] gateway::http_server::response renew_lease(const std::string& id);
 
     [[nodiscard]] gateway::http_server::response
     respond(const gateway::http_server::request& request);
+    [[nodiscard]] gateway::http_server::response
+    answer(const gateway::http_server::request& request);
     [[nodiscard]] gateway::http_server::response list_items(const std::string& prefix) const;
     [[nodiscard]] gateway::http_server::response list_changes(const std::string& prefix,
                                                               std::uint64_t after) const;
     [[nodiscard]] gateway::http_server::response transact(const std::string& body);
 
-    std::map<std::string, item> items_;
-    std::uint64_t revision_ = 1;
+    state state_;
+    /// States after each change, oldest first. The first one may be older than max_copy_age.
+    std::deque<dated_copy> copies_;
+    std::uint64_t era_ = 1;
+    bool available_ = true;
     bool lose_watches_ = false;
-    std::map<std::uint64_t, lease> leases_;
+    /// Not part of a copy: identifiers of leases are not given out again.
     std::uint64_t last_lease_id_ = 0;
     gateway::http_server server_;
 };
--- a/standins/session/src/standin_store.cpp
+++ b/standins/session/src/standin_store.cpp
@@ -42,26 +42,58 @@
 
 standin_store::standin_store(boost::asio::io_context& context)
     : server_{context, "127.0.0.1:0",
-              [this](const gateway::http_server::request& request) { return respond(request); }} {}
+              [this](const gateway::http_server::request& request) { return respond(request); }} {
+    keep_copy();
+}
 
 std::string standin_store::address() const {
     return "127.0.0.1:" + std::to_string(server_.port());
 }
 
 bool standin_store::contains(const std::string& key) const {
-    const auto found = items_.find(key);
-    return found != items_.end() && !found->second.removed;
+    const auto found = state_.items.find(key);
+    return found != state_.items.end() && !found->second.removed;
 }
 
 void standin_store::put(const std::string& key, const std::string& value) {
-    items_[key] = item{gateway::encode_base64(value), ++revision_, 0, false};
+    state_.items[key] = item{gateway::encode_base64(value), ++state_.revision, 0, false};
+    keep_copy();
+}
+
+void standin_store::remove(const std::string& key) {
+    const auto found = state_.items.find(key);
+    if (found != state_.items.end() && !found->second.removed) {
+        remove(found->second);
+        keep_copy();
+    }
+}
+
+void standin_store::keep_copy() {
+    const auto now = std::chrono::steady_clock::now();
+    copies_.push_back({now, state_});
+    while (copies_.size() > 1 && copies_[1].taken_at <= now - max_copy_age) {
+        copies_.pop_front();
+    }
+}
+
+void standin_store::restore_copy(std::chrono::milliseconds age) {
+    const auto now = std::chrono::steady_clock::now();
+    while (copies_.size() > 1 && copies_.back().taken_at > now - age) {
+        copies_.pop_back();
+    }
+    state_ = copies_.back().copied;
+    for (auto& [id, granted] : state_.leases) {
+        granted.expires_at = now + granted.duration;
+    }
+    ++era_;
 }
 
 void standin_store::expire_leases() {
     const auto now = std::chrono::steady_clock::now();
-    std::erase_if(leases_, [now](const auto& entry) { return entry.second.expires_at <= now; });
-    for (auto& [key, stored] : items_) {
-        if (stored.lease != 0 && !leases_.contains(stored.lease)) {
+    std::erase_if(state_.leases,
+                  [now](const auto& entry) { return entry.second.expires_at <= now; });
+    for (auto& [key, stored] : state_.items) {
+        if (stored.lease != 0 && !state_.leases.contains(stored.lease)) {
             remove(stored);
         }
     }
@@ -70,11 +102,21 @@
 void standin_store::remove(item& stored) {
     stored.removed = true;
     stored.lease = 0;
-    stored.revision = ++revision_;
+    stored.revision = ++state_.revision;
 }
 
 gateway::http_server::response
 standin_store::respond(const gateway::http_server::request& request) {
+    const std::map<std::string, std::string> headers{{"Store-Era", std::to_string(era_)}};
+    if (!available_) {
+        return {503, "text/plain", "unavailable", {}, headers};
+    }
+    gateway::http_server::response given = answer(request);
+    given.headers = headers;
+    return given;
+}
+
+gateway::http_server::response standin_store::answer(const gateway::http_server::request& request) {
     expire_leases();
     const std::string path = request.target.substr(0, request.target.find('?'));
     const std::string renewal = "/v1/kv-keep/";
@@ -100,13 +142,14 @@
 gateway::http_server::response standin_store::grant_lease(const std::string& body) {
     const std::chrono::milliseconds duration{
         internal::json::parse(body).at("ttl_ms").get<std::int64_t>()};
-    leases_[++last_lease_id_] = {duration, std::chrono::steady_clock::now() + duration};
+    state_.leases[++last_lease_id_] = {duration, std::chrono::steady_clock::now() + duration};
+    keep_copy();
     return internal::json_response({{"lease", last_lease_id_}, {"ttl_ms", duration.count()}});
 }
 
 gateway::http_server::response standin_store::renew_lease(const std::string& id) {
-    const auto found = leases_.find(std::stoull(id));
-    if (found == leases_.end()) {
+    const auto found = state_.leases.find(std::stoull(id));
+    if (found == state_.leases.end()) {
         return {404, "application/json", "{}", {}};
     }
     found->second.expires_at = std::chrono::steady_clock::now() + found->second.duration;
@@ -115,7 +158,7 @@
 
 gateway::http_server::response standin_store::list_items(const std::string& prefix) const {
     internal::json items = internal::json::array();
-    for (const auto& [key, stored] : items_) {
+    for (const auto& [key, stored] : state_.items) {
         if (key.starts_with(prefix) && !stored.removed) {
             items.push_back({{"key", key},
                              {"value", stored.value},
@@ -124,13 +167,17 @@
         }
     }
     return internal::json_response(
-        {{"items", items}, {"has_more", false}, {"current_rev", revision_}});
+        {{"items", items}, {"has_more", false}, {"current_rev", state_.revision}});
 }
 
 gateway::http_server::response standin_store::list_changes(const std::string& prefix,
                                                            std::uint64_t after) const {
+    if (after > state_.revision) {
+        // A revision of an earlier era that has not been given out again.
+        return {410, "application/json", "{}", {}};
+    }
     internal::json events = internal::json::array();
-    for (const auto& [key, stored] : items_) {
+    for (const auto& [key, stored] : state_.items) {
         if (!key.starts_with(prefix) || stored.revision <= after) {
             continue;
         }
@@ -144,7 +191,7 @@
         }
     }
     gateway::http_server::response response =
-        internal::json_response({{"events", events}, {"current_rev", revision_}});
+        internal::json_response({{"events", events}, {"current_rev", state_.revision}});
     if (events.empty()) {
         response.delay = internal::watch_timeout;
     }
@@ -157,32 +204,33 @@
 gateway::http_server::response standin_store::transact(const std::string& body) {
     const internal::json request = internal::json::parse(body);
     for (const internal::json& expected : request.at("expected_rev")) {
-        const auto found = items_.find(expected.at("key").get<std::string>());
+        const auto found = state_.items.find(expected.at("key").get<std::string>());
         const std::uint64_t current_revision =
-            found == items_.end() || found->second.removed ? 0 : found->second.revision;
+            found == state_.items.end() || found->second.removed ? 0 : found->second.revision;
         if (current_revision != expected.at("revision").get<std::uint64_t>()) {
             return {412, "application/json", R"({"items":[]})", {}};
         }
     }
     for (const internal::json& written : request.at("writes")) {
         const std::uint64_t lease_id = written.at("lease").get<std::uint64_t>();
-        if (lease_id != 0 && !leases_.contains(lease_id)) {
+        if (lease_id != 0 && !state_.leases.contains(lease_id)) {
             return {404, "application/json", "{}", {}};
         }
     }
-    ++revision_;
+    ++state_.revision;
     for (const internal::json& written : request.at("writes")) {
-        items_[written.at("key").get<std::string>()] =
-            item{written.at("value").get<std::string>(), revision_,
+        state_.items[written.at("key").get<std::string>()] =
+            item{written.at("value").get<std::string>(), state_.revision,
                  written.at("lease").get<std::uint64_t>(), false};
     }
     for (const internal::json& removed : request.at("remove")) {
-        const auto found = items_.find(removed.get<std::string>());
-        if (found != items_.end() && !found->second.removed) {
+        const auto found = state_.items.find(removed.get<std::string>());
+        if (found != state_.items.end() && !found->second.removed) {
             remove(found->second);
         }
     }
-    return internal::json_response({{"revision", revision_}});
+    keep_copy();
+    return internal::json_response({{"revision", state_.revision}});
 }
 
 } // namespace lovagemoor::session_standins
--- a/tests/process/session_host_test.cpp
+++ b/tests/process/session_host_test.cpp
@@ -48,10 +48,7 @@
         std::filesystem::create_directories(directory_);
         write_settings("info");
         standin_thread_ = std::thread{[this] { context_.run(); }};
-        host_.emplace(std::vector<std::string>{testbed::host_program(), "--sessions",
-                                               "--settings=" + settings_path()},
-                      (directory_ / "host.log").string());
-        static_cast<void>(host_->wait_until_ready(20s));
+        start();
     }
 
     running_host(const running_host&) = delete;
@@ -67,6 +64,19 @@
         std::filesystem::remove_all(directory_, ignored);
     }
 
+    void start() {
+        host_.emplace(std::vector<std::string>{testbed::host_program(), "--sessions",
+                                               "--settings=" + settings_path()},
+                      (directory_ / "host.log").string());
+        static_cast<void>(host_->wait_until_ready(20s));
+    }
+
+    /// @brief Ends the process without a notice and starts it again.
+    void restart() {
+        host_.reset();
+        start();
+    }
+
     void write_settings(const std::string& level) const {
         std::ofstream file{settings_path()};
         file << "[host]\nid = host-1\nfailure_domain = a\ncaller_listen = " << address(0)
@@ -99,6 +109,11 @@
         boost::asio::post(context_, [this, key, value] { store_.put(key, value); });
     }
 
+    /// @brief Removes an item of the store, on the thread of the stand-ins.
+    void remove(const std::string& key) {
+        boost::asio::post(context_, [this, key] { store_.remove(key); });
+    }
+
     [[nodiscard]] std::string database_entry(const std::string& state) const {
         return R"({"service":"s","address":")" + database_.address() +
                R"(","zone":"a","slots":2,"state":")" + state + R"(","db_role":"primary"})";
@@ -127,15 +142,14 @@
 /// @brief A caller's session that waits for the answer to each statement.
 class caller_session {
 public:
+    caller_session() : socket_{context_} {}
+
     explicit caller_session(std::uint16_t port, const std::string& database = "orders")
-        : socket_{context_} {
+        : caller_session{} {
         // The host accepts connections as soon as it starts, but refuses statements until it has
         // read its configuration. The session is therefore reopened until a statement is served.
         for (int attempt = 0; attempt < 100; ++attempt) {
-            socket_ = tcp::socket{context_};
-            socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
-            send("STARTUP " + database + " test");
-            if (read_line() == "READY I -" &&
+            if (open(port, database) == "READY I -" &&
                 !execute("READ probe").front().starts_with("ERROR BUSY")) {
                 return;
             }
@@ -144,6 +158,16 @@
         BOOST_FAIL("the host served no statement after 100 attempts to open a session");
     }
 
+    /// @brief Opens the session, or opens it again.
+    /// @return The first line of the answer.
+    std::string open(std::uint16_t port, const std::string& database) {
+        socket_ = tcp::socket{context_};
+        received_.clear();
+        socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+        send("STARTUP " + database + " test");
+        return read_line();
+    }
+
     /// @brief Sends a statement.
     /// @return The lines of the answer, including the READY line that ends it.
     std::vector<std::string> execute(const std::string& text) {
@@ -310,6 +334,27 @@
     BOOST_TEST((last_served - changed_at < 7s));
 }
 
+// Guards against a host that uses a route that was withdrawn, or a database that has left, once its
+// process has started again: it must keep neither. Reported by another operator.
+BOOST_AUTO_TEST_CASE(a_restarted_host_uses_nothing_that_was_withdrawn) {
+    running_host host;
+    caller_session session{host.caller_port()};
+    host.put("op/config", running_host::configuration(2, {"more-orders"}));
+    host.remove("servers/i-1");
+    host.restart();
+    caller_session withdrawn;
+    std::string answer;
+    // Until the host has read its configuration, no database is unknown.
+    for (int attempt = 0; attempt < 50 && !answer.starts_with("ERROR"); ++attempt) {
+        std::this_thread::sleep_for(100ms);
+        answer = withdrawn.open(host.caller_port(), "orders");
+    }
+    BOOST_TEST(answer.starts_with("ERROR NODB"));
+    caller_session without_database;
+    BOOST_TEST(without_database.open(host.caller_port(), "more-orders") == "READY I -");
+    BOOST_TEST(without_database.execute("READ kit-1").front().starts_with("ERROR BUSY"));
+}
+
 // Guards against a planned stop that ends a session while its transaction is open.
 BOOST_AUTO_TEST_CASE(a_graceful_stop_waits_for_an_open_transaction) {
     running_host host;
