--- a/tests/process/session_host_test.cpp
+++ b/tests/process/session_host_test.cpp
@@ -19,6 +19,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace lovagemoor {
@@ -114,6 +115,22 @@
         boost::asio::post(context_, [this, key] { store_.remove(key); });
     }
 
+    /// @brief The store is away for a time and comes back from a copy.
+    /// @param age Age of the copy at the return.
+    /// @param items Items that are written before the host's first call after the return.
+    void restore_store(std::chrono::milliseconds away, std::chrono::milliseconds age,
+                       const std::vector<std::pair<std::string, std::string>>& items) {
+        boost::asio::post(context_, [this] { store_.set_available(false); });
+        std::this_thread::sleep_for(away);
+        boost::asio::post(context_, [this, age, items] {
+            store_.restore_copy(age);
+            for (const auto& [key, value] : items) {
+                store_.put(key, value);
+            }
+            store_.set_available(true);
+        });
+    }
+
     [[nodiscard]] std::string database_entry(const std::string& state) const {
         return R"({"service":"s","address":")" + database_.address() +
                R"(","zone":"a","slots":2,"state":")" + state + R"(","db_role":"primary"})";
@@ -334,6 +351,36 @@
     BOOST_TEST((last_served - changed_at < 7s));
 }
 
+// Guards against sessions that are cut, statements that are refused and configurations that are
+// missed because the store has come back from an older copy: the configuration has a revision that
+// the host's watch has passed, and the store's revision is not below that of the watch.
+BOOST_AUTO_TEST_CASE(a_host_serves_and_follows_a_store_that_came_back_from_a_copy) {
+    running_host host;
+    caller_session session{host.caller_port()};
+    BOOST_TEST(session.execute("WRITE kit-1 blue").front() == "COMPLETE signed");
+    std::this_thread::sleep_for(1s);
+    // Written after the copy. The entry names no database.
+    const std::pair<std::string, std::string> lost{"servers/z-1", R"({"state":)"};
+    for (int change = 0; change < 5; ++change) {
+        host.put(lost.first, lost.second);
+        std::this_thread::sleep_for(100ms);
+    }
+    std::vector<std::pair<std::string, std::string>> written{
+        {"op/config", running_host::configuration(2, {"orders", "more-orders"})}};
+    written.resize(20, lost);
+    const auto returned_at = std::chrono::steady_clock::now() + 300ms;
+    host.restore_store(300ms, 1300ms, written);
+    std::size_t refused = 0;
+    while (std::chrono::steady_clock::now() - returned_at < 3s) {
+        refused += session.execute("READ kit-1").front() == "DATAROW blue" ? 0U : 1U;
+        std::this_thread::sleep_for(20ms);
+    }
+    BOOST_TEST(refused == 0U);
+    caller_session added{host.caller_port(), "more-orders"};
+    BOOST_TEST((std::chrono::steady_clock::now() - returned_at < 4s));
+    BOOST_TEST(!host.process().wait_for_exit(0ms).has_value());
+}
+
 // Guards against a host that uses a route that was withdrawn, or a database that has left, once its
 // process has started again: it must keep neither. Reported by another operator.
 BOOST_AUTO_TEST_CASE(a_restarted_host_uses_nothing_that_was_withdrawn) {
