Serve at once on a host that starts while the registry comes back

A host that learned of a return before its first list of demotions used no primary for 2 s. It knows nothing better than the copy, and one that starts a moment later serves at once too.

--- a/packages/proxy/src/engine/session_engine_promotion.cpp
+++ b/packages/proxy/src/engine/session_engine_promotion.cpp
@@ -346,7 +346,9 @@
     }
     find_lost_demotions(input.demotions);
     const core::time_point requested = demotions_requested_at_.value_or(now_);
-    if (!registry_incomplete(requested)) {
+    // A host that has just started knows nothing better than the copy.
+    const bool is_first = demotions_known_at_ == core::time_point{};
+    if (is_first || !registry_incomplete(requested)) {
         demotions_known_at_ = requested;
     }
     dispatch_all_waiting();
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -1706,6 +1706,18 @@
     BOOST_TEST(cluster.violations().empty());
 }
 
+// Guards against a host that serves nothing for 2 s because the registry came back while it
+// started.
+BOOST_AUTO_TEST_CASE(a_host_that_starts_during_a_return_serves_at_once) {
+    fake_cluster cluster;
+    cluster.apply(registry_restored{1, 2});
+    cluster.start_reference();
+    cluster.run_for(500ms);
+    const std::string write = cluster.send(cluster.open("latest"), kind::write, "x");
+    cluster.run_for(100ms);
+    BOOST_TEST(error_of(cluster, write) == "");
+}
+
 // Guards against statements that are refused because of a return of the registry alone.
 BOOST_AUTO_TEST_CASE(a_return_of_the_registry_does_not_end_the_use_of_a_primary) {
     fake_cluster cluster = started();
