--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -1308,4 +1308,455 @@
     BOOST_TEST(cluster.is_closed(caller));
 }
 
+namespace {
+
+/// @brief Sends a read that accepts staleness every 50 ms.
+/// @return Targets that ran one.
+std::set<core::target_id> read_for(fake_cluster& cluster, core::duration time) {
+    std::set<core::target_id> ran;
+    for (const core::time_point end = cluster.now() + time; cluster.now() < end;) {
+        const std::string read = cluster.send(cluster.open("bounded"), kind::read, "x");
+        cluster.run_for(50ms);
+        for (const core::target_id& target : cluster.ran_at(read)) {
+            ran.insert(target);
+        }
+    }
+    return ran;
+}
+
+/// @brief Only t1 has free slots, so every read that may run there does.
+fake_cluster started_with_one_free_replica() {
+    fake_cluster cluster = started();
+    cluster.targets.at(t0).busy = true;
+    cluster.targets.at(t2).busy = true;
+    return cluster;
+}
+
+/// @brief A target leaves, and the host learns of it and forgets it.
+void leave(fake_cluster& cluster, const core::target_id& id) {
+    cluster.unlisted.insert(id);
+    cluster.apply(target_removed{id});
+    cluster.run_for(3s);
+}
+
+void drain(fake_cluster& cluster, const core::target_id& id) {
+    cluster.targets.at(id).record.draining = true;
+    cluster.apply(target_changed{cluster.targets.at(id).record});
+}
+
+} // namespace
+
+// Guards against new statements at a target that drains or has left, because a copy of the registry
+// lists it as ready again (DRAIN). t1 still runs, as a target may after the end of its notice.
+BOOST_AUTO_TEST_CASE(a_copy_does_not_end_the_draining_of_a_target) {
+    fake_cluster cluster = started_with_one_free_replica();
+    read_for(cluster, 500ms);
+    const std::vector<target_record> copy = cluster.entries();
+    drain(cluster, t1);
+    read_for(cluster, 1s);
+    cluster.restore_registry(copy);
+    BOOST_TEST(!read_for(cluster, 8s).contains(t1));
+    leave(cluster, t1);
+    cluster.restore_registry(copy);
+    const std::size_t connects = cluster.connects_to(t1);
+    BOOST_TEST(!read_for(cluster, 8s).contains(t1));
+    // Even an entry that is written after the return does not make the same process ready again.
+    cluster.apply(target_changed{copy.at(1)});
+    BOOST_TEST(!read_for(cluster, 8s).contains(t1));
+    BOOST_TEST(connects + 1 >= cluster.connects_to(t1));
+    // Its next process does not drain.
+    target_record next = copy.at(1);
+    next.started_ms = 2;
+    cluster.apply(target_changed{next});
+    BOOST_TEST(read_for(cluster, 3s).contains(t1));
+}
+
+namespace {
+
+struct returned_entry_case {
+    const char* name;
+    /// What happens after the list of the copy.
+    std::function<void(fake_cluster&, const target_record&)> happens;
+    bool used_early;
+    bool used_in_the_end;
+
+    friend std::ostream& operator<<(std::ostream& output, const returned_entry_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<returned_entry_case> returned_entries{
+    {"the registry removes the entry",
+     [](fake_cluster& cluster, const target_record& entry) {
+         cluster.run_for(1s);
+         cluster.apply(target_removed{entry.id});
+     },
+     false, false},
+    {"the next list lacks the entry",
+     [](fake_cluster& cluster, const target_record&) {
+         cluster.run_for(1s);
+         cluster.list_targets();
+     },
+     false, false},
+    {"the target writes its entry",
+     [](fake_cluster& cluster, const target_record& entry) {
+         cluster.apply(target_changed{entry});
+     },
+     true, true},
+    {"the next list has another entry",
+     [](fake_cluster& cluster, const target_record& entry) {
+         target_record changed = entry;
+         changed.slots = 6;
+         cluster.apply(targets_listed{
+             {cluster.targets.at(t0).record, changed, cluster.targets.at(t2).record}});
+     },
+     true, true},
+    {"the entry stays", [](fake_cluster&, const target_record&) {}, false, true},
+    {"the registry comes back once more",
+     [](fake_cluster& cluster, const target_record&) {
+         cluster.run_for(1s);
+         cluster.restore_registry(cluster.entries());
+     },
+     false, true},
+};
+
+} // namespace
+
+// Guards against using a target that has left on the word of an older copy of the registry alone,
+// and against leaving out one that lives.
+BOOST_DATA_TEST_CASE(a_target_that_left_is_used_once_its_entry_is_confirmed,
+                     boost::unit_test::data::make(returned_entries), sample) {
+    fake_cluster cluster = started_with_one_free_replica();
+    const std::vector<target_record> copy = cluster.entries();
+    leave(cluster, t1);
+    const std::size_t connects = cluster.connects_to(t1);
+    cluster.restore_registry(copy);
+    sample.happens(cluster, copy.at(1));
+    BOOST_TEST(read_for(cluster, 2s).contains(t1) == sample.used_early);
+    BOOST_TEST((cluster.connects_to(t1) > connects) == sample.used_early);
+    read_for(cluster, 5s);
+    BOOST_TEST(read_for(cluster, 1s).contains(t1) == sample.used_in_the_end);
+    BOOST_TEST(cluster.violations().empty());
+}
+
+// Guards against connects to the address of another target under the id of one that had it before,
+// and against dropping a target that the copy lacks because it is new.
+BOOST_AUTO_TEST_CASE(an_address_that_another_target_has_is_not_connected_to_under_the_old_id) {
+    fake_cluster cluster = started_with_one_free_replica();
+    const std::vector<target_record> copy = cluster.entries();
+    const core::target_id t3{"t3"};
+    fake_cluster::target added = cluster.targets.at(t1);
+    added.record.id = t3;
+    added.record.started_ms = 5;
+    cluster.targets[t3] = added;
+    cluster.targets.erase(t1);
+    cluster.list_targets();
+    read_for(cluster, 1s);
+    const std::size_t connects = cluster.connects_to(t1);
+    cluster.restore_registry(copy);
+    BOOST_TEST(read_for(cluster, 2s).contains(t3));
+    cluster.apply(target_changed{cluster.targets.at(t3).record});
+    cluster.apply(target_removed{t1});
+    BOOST_TEST(read_for(cluster, 5s).contains(t3));
+    BOOST_TEST(cluster.connects_to(t1) == connects);
+}
+
+// Guards against statements that wait or are refused because a copy names a former primary.
+BOOST_AUTO_TEST_CASE(a_role_in_a_copy_does_not_replace_the_primary) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    std::vector<target_record> copy = cluster.entries();
+    cluster.promote(t1);
+    read_for(cluster, 1s);
+    cluster.restore_registry(copy);
+    for (int index = 0; index < 5; ++index) {
+        const std::string write = cluster.send(caller, kind::write, "x");
+        cluster.run_for(30ms);
+        BOOST_TEST(error_of(cluster, write) == "");
+        BOOST_TEST((cluster.ran_at(write) == std::vector<core::target_id>{t1}));
+    }
+    // A host that started after the former primary left has never heard of it.
+    target_record unknown = copy.at(0);
+    unknown.id = core::target_id{"t9"};
+    unknown.address = "10.0.0.9:1";
+    copy.push_back(unknown);
+    cluster.restore_registry(copy);
+    const std::string write = cluster.send(caller, kind::write, "x");
+    cluster.run_for(30ms);
+    BOOST_TEST(error_of(cluster, write) == "");
+    BOOST_TEST(cluster.violations().empty());
+}
+
+// Guards against a service without targets because the entries come back up to two seconds late.
+BOOST_AUTO_TEST_CASE(targets_that_a_copy_lacks_are_used_until_their_entries_are_back) {
+    fake_cluster cluster = started();
+    const session_id bounded = cluster.open("bounded");
+    const session_id latest = cluster.open("latest");
+    const std::size_t connects = cluster.performed<open_target>().size();
+    cluster.restore_registry({});
+    for (int index = 0; index < 40; ++index) {
+        const std::string read = cluster.send(bounded, kind::read, "x");
+        const std::string write = cluster.send(latest, kind::write, "x");
+        cluster.run_for(50ms);
+        BOOST_TEST(error_of(cluster, read) == "");
+        BOOST_TEST(error_of(cluster, write) == "");
+    }
+    for (const target_record& entry : cluster.entries()) {
+        cluster.apply(target_changed{entry});
+    }
+    cluster.run_for(2s);
+    const std::string write = cluster.send(latest, kind::write, "x");
+    cluster.run_for(50ms);
+    BOOST_TEST(error_of(cluster, write) == "");
+    BOOST_TEST(cluster.performed<open_target>().size() <= connects + 3);
+    BOOST_TEST(cluster.violations().empty());
+}
+
+// Guards against new statements at a draining primary after the end of its notice: its entry is
+// removed then, and a removed target is used for a moment in case it returns (DRAIN).
+BOOST_AUTO_TEST_CASE(a_drained_primary_that_left_is_not_used) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    drain(cluster, t0);
+    cluster.run_for(7s);
+    cluster.apply(target_removed{t0});
+    const std::string write = cluster.send(caller, kind::write, "x");
+    cluster.run_for(500ms);
+    BOOST_TEST(cluster.ran_at(write).empty());
+}
+
+// Guards against taking a demoted target for the primary because the host has forgotten it: an
+// older copy lists it as the primary again, and its demotion may be gone there.
+BOOST_AUTO_TEST_CASE(a_demotion_is_remembered_when_its_target_is_forgotten) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    const target_record former = cluster.targets.at(t0).record;
+    cluster.targets.at(t0).reachable = false;
+    cluster.announce(t0);
+    cluster.promote(t1, t0);
+    cluster.disconnect(t0);
+    leave(cluster, t0);
+    cluster.targets.at(t0).reachable = true;
+    cluster.restore_registry({former, cluster.targets.at(t2).record});
+    cluster.apply(target_changed{former});
+    const std::string write = cluster.send(caller, kind::write, "x");
+    cluster.run_for(500ms);
+    BOOST_TEST((cluster.ran_at(write) != std::vector<core::target_id>{t0}));
+    BOOST_TEST(cluster.violations().empty());
+}
+
+// Guards against a report that is missing in the registry because it has come back from an older
+// copy, and against one that the copy brings back after its withdrawal.
+BOOST_AUTO_TEST_CASE(an_own_report_is_settled_after_a_return_of_the_registry) {
+    fake_cluster cluster = started();
+    const core::service_id service{"s"};
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    cluster.apply(registry_restored{1, 2});
+    cluster.run_for(1s);
+    BOOST_TEST(cluster.performed<withdraw_suspicion>().empty());
+    cluster.targets.at(t0).reachable = false;
+    cluster.disconnect(t0);
+    cluster.run_for(1s);
+    BOOST_REQUIRE(cluster.performed<publish_suspicion>().size() == 1U);
+    cluster.apply(registry_restored{2, 3});
+    cluster.run_for(1s);
+    BOOST_TEST(cluster.performed<publish_suspicion>().size() == 2U);
+    BOOST_TEST(cluster.performed<withdraw_suspicion>().empty());
+    cluster.targets.at(t0).reachable = true;
+    cluster.run_for(2s);
+    BOOST_TEST(cluster.performed<withdraw_suspicion>().size() == 1U);
+    cluster.apply(registry_restored{3, 4});
+    cluster.run_for(1s);
+    BOOST_TEST(cluster.performed<withdraw_suspicion>().size() == 2U);
+    BOOST_TEST(cluster.performed<publish_suspicion>().size() == 2U);
+    // A copy is not old enough to have a report that was withdrawn long ago.
+    cluster.run_for(61s);
+    cluster.apply(registry_restored{4, 5});
+    cluster.run_for(1s);
+    BOOST_TEST(cluster.performed<withdraw_suspicion>().size() == 2U);
+}
+
+namespace {
+
+struct returned_report_case {
+    const char* name;
+    /// Target that the reports of the copy name.
+    core::target_id reported;
+    /// The primary fails after the return.
+    bool fails;
+    /// Other hosts write their reports again after the registry_restore_time.
+    bool repeated;
+    bool demoted;
+
+    friend std::ostream& operator<<(std::ostream& output, const returned_report_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<returned_report_case> returned_reports{
+    {"reports of a former primary", t1, false, false, false},
+    {"reports that name none", {}, false, false, false},
+    {"reports from an earlier failure of the same primary", t0, false, false, false},
+    {"reports of the primary that are repeated", t0, false, true, true},
+    {"reports of a primary that this host finds failing", t0, true, false, true},
+};
+
+} // namespace
+
+// Guards against replacing a primary because of reports that a copy of the registry brings back.
+BOOST_DATA_TEST_CASE(reports_of_a_copy_do_not_count_against_a_primary_that_serves,
+                     boost::unit_test::data::make(returned_reports), sample) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    // This host holds the lock because of another service.
+    cluster.apply(
+        promotion_lock_answered{promotion_lock_result::acquired, promotion_token{7}, 8000ms});
+    cluster.restore_registry(cluster.entries());
+    const core::service_id service{"s"};
+    const suspicions_listed reports{{{service, sample.reported, core::host_id{"host-2"}},
+                                     {service, sample.reported, core::host_id{"host-3"}}}};
+    if (sample.fails) {
+        cluster.targets.at(t0).crashed = true;
+        cluster.disconnect(t0);
+    }
+    cluster.apply(reports);
+    cluster.run_for(1900ms);
+    BOOST_TEST((cluster.performed<publish_demotion>().empty() &&
+                cluster.performed<promote_target>().empty()) == !sample.fails);
+    cluster.apply(suspicions_listed{});
+    cluster.run_for(200ms);
+    if (sample.repeated) {
+        cluster.apply(reports);
+    }
+    cluster.run_for(1s);
+    BOOST_TEST((cluster.performed<promote_target>().empty()) == !sample.demoted);
+}
+
+namespace {
+
+struct lost_demotion_case {
+    const char* name;
+    /// Terms below which t0 must not lead, as the copy lists them. Empty if it lists none.
+    std::optional<core::term_number> listed;
+    /// Another host announces the demotion again first.
+    bool announced;
+    /// Number of failed attempts to announce it.
+    unsigned failures;
+    /// The failed attempts have taken effect; only their answers were lost.
+    bool kept;
+    std::size_t restored;
+
+    friend std::ostream& operator<<(std::ostream& output, const lost_demotion_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<lost_demotion_case> lost_demotions{
+    {"the copy has it", 2, false, 0, false, 0},
+    {"the copy has a later one", 3, false, 0, false, 0},
+    {"the copy has an earlier one", 1, false, 0, false, 1},
+    {"the copy has none", std::nullopt, false, 0, false, 1},
+    {"another host announces it first", std::nullopt, true, 0, false, 0},
+    {"an announcement fails", std::nullopt, false, 1, false, 2},
+    {"the answer to an announcement is lost", std::nullopt, false, 1, true, 1},
+};
+
+} // namespace
+
+// Guards against a former primary that hosts take for the primary because the registry has lost its
+// demotion: each host that lists the demotions after a partition must find it.
+BOOST_DATA_TEST_CASE(a_lost_demotion_is_announced_again,
+                     boost::unit_test::data::make(lost_demotions), sample) {
+    fake_cluster cluster = started();
+    const core::service_id service{"s"};
+    cluster.apply(demotion_announced{{service, t0, 2, 40}});
+    cluster.run_for(100ms);
+    cluster.apply(registry_restored{1, 2});
+    demotions_listed list;
+    if (sample.listed.has_value()) {
+        list.demotions.push_back({service, t0, *sample.listed, 30});
+    }
+    cluster.apply(list);
+    if (sample.announced) {
+        cluster.apply(demotion_announced{{service, t0, 2, 41}});
+    }
+    cluster.run_for(400ms);
+    for (unsigned failure = 0; failure < sample.failures; ++failure) {
+        if (sample.kept) {
+            // The registry has the announcement, of which this host has not heard.
+            cluster.registry_available = false;
+            cluster.announce(t0);
+            cluster.registry_available = true;
+        }
+        cluster.apply(demotion_restore_answered{service, false});
+        cluster.run_for(500ms);
+        cluster.run_for(400ms);
+    }
+    const std::vector<restore_demotion> restored = cluster.performed<restore_demotion>();
+    BOOST_REQUIRE(restored.size() == sample.restored);
+    for (const restore_demotion& written : restored) {
+        BOOST_TEST((written.demotion.target == t0));
+        BOOST_TEST(written.demotion.term == 2U);
+        BOOST_TEST(written.listed_revision == (sample.listed.has_value() ? 30U : 0U));
+    }
+}
+
+// Guards against the use of a replaced primary by a host that was cut off with it and lists the
+// demotions of a copy that lacks the announcement, before another host has written it again.
+BOOST_AUTO_TEST_CASE(a_list_of_a_copy_does_not_renew_a_lapsed_lease) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    cut_off(cluster, true);
+    cluster.run_for(2s);
+    cluster.promote(t1, t0);
+    cluster.targets.at(t1).reachable = true;
+    cluster.targets.at(t2).reachable = true;
+    cluster.run_for(1500ms);
+    // The announcement is lost.
+    cluster.registry_available = true;
+    cluster.apply(registry_restored{1, 2});
+    const std::string write = cluster.send(caller, kind::write, "y");
+    cluster.run_for(900ms);
+    BOOST_TEST(cluster.ran_at(write).empty());
+    cluster.announce(t0);
+    cluster.run_for(2s);
+    BOOST_TEST((cluster.ran_at(write) != std::vector<core::target_id>{t0}));
+    BOOST_TEST(cluster.violations().empty());
+}
+
+// Guards against a host that serves nothing for 2 s because the registry came back while it
+// started.
+BOOST_AUTO_TEST_CASE(a_host_that_starts_during_a_return_serves_at_once) {
+    fake_cluster cluster;
+    cluster.apply(registry_restored{1, 2});
+    cluster.start_reference();
+    cluster.run_for(500ms);
+    const std::string write = cluster.send(cluster.open("latest"), kind::write, "x");
+    cluster.run_for(100ms);
+    BOOST_TEST(error_of(cluster, write) == "");
+}
+
+// Guards against statements that are refused because of a return of the registry alone.
+BOOST_AUTO_TEST_CASE(a_return_of_the_registry_does_not_end_the_use_of_a_primary) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    cluster.restore_registry(cluster.entries());
+    for (int index = 0; index < 30; ++index) {
+        const std::string write = cluster.send(caller, kind::write, "y");
+        cluster.run_for(100ms);
+        BOOST_TEST(error_of(cluster, write) == "");
+    }
+    BOOST_TEST(cluster.violations().empty());
+}
+
 } // namespace lovagemoor::proxy
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -43,6 +43,7 @@
     void perform(const proxy::acquire_promotion_lock& action);
     void write_lock_claim(proxy::promotion_lock_claim::claim_number number);
     void perform(const proxy::publish_demotion& action);
+    void perform(const proxy::restore_demotion& action);
     void perform(const proxy::list_demotions& action);
     void perform(const proxy::contact_registry& action);
     void perform(const proxy::promote_target& action);
--- a/tests/process/session_host_test.cpp
+++ b/tests/process/session_host_test.cpp
@@ -54,10 +54,7 @@
         std::filesystem::create_directories(directory_);
         write_settings("info");
         standin_thread_ = std::thread{[this] { context_.run(); }};
-        host_.emplace(std::vector<std::string>{testbed::host_program(), "--sessions",
-                                               "--settings=" + settings_path()},
-                      (directory_ / "host.log").string());
-        static_cast<void>(host_->wait_until_ready(20s));
+        start();
     }
 
     running_host(const running_host&) = delete;
@@ -73,6 +70,19 @@
         std::filesystem::remove_all(directory_, ignored);
     }
 
+    void start() {
+        host_.emplace(std::vector<std::string>{testbed::host_program(), "--sessions",
+                                               "--settings=" + settings_path()},
+                      (directory_ / "host.log").string());
+        static_cast<void>(host_->wait_until_ready(20s));
+    }
+
+    /// @brief Ends the process without a notice and starts it again.
+    void restart() {
+        host_.reset();
+        start();
+    }
+
     void write_settings(const std::string& level) const {
         std::ofstream file{settings_path()};
         file << "[host]\nid = host-1\nfailure_domain = a\ncaller_listen = " << address(0)
@@ -107,15 +117,15 @@
         boost::asio::post(context_, [this, key, value] { store_.put(key, value); });
     }
 
-    void copy_store() {
-        boost::asio::post(context_, [this] { store_.take_copy(); });
-    }
+    /// @brief Marks the state of the store to which restore_marked_store() goes back.
+    void mark_store() { marked_at_ = std::chrono::steady_clock::now(); }
 
-    /// @brief The store comes back from the copy. The configuration is written again at once, and
-    /// other items until the revisions of before the return are exceeded.
-    void restore_store(const std::string& new_configuration) {
+    /// @brief The store comes back from a copy of the marked state. The configuration is written
+    /// again at once, and other items until the revisions of before the return are exceeded.
+    void restore_marked_store(const std::string& new_configuration) {
         boost::asio::post(context_, [this, new_configuration] {
-            store_.restore_copy();
+            store_.restore_copy(std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::steady_clock::now() - marked_at_));
             store_.put("op/config", new_configuration);
             for (int index = 0; index < 50; ++index) {
                 store_.put("other/" + std::to_string(index), "");
@@ -131,6 +141,27 @@
         return found.get_future().get();
     }
 
+    /// @brief Removes an item of the store, on the thread of the stand-ins.
+    void remove(const std::string& key) {
+        boost::asio::post(context_, [this, key] { store_.remove(key); });
+    }
+
+    /// @brief The store is away for a time and comes back from a copy.
+    /// @param age Age of the copy at the return.
+    /// @param items Items that are written before the host's first call after the return.
+    void restore_store(std::chrono::milliseconds away, std::chrono::milliseconds age,
+                       const std::vector<std::pair<std::string, std::string>>& items) {
+        boost::asio::post(context_, [this] { store_.set_available(false); });
+        std::this_thread::sleep_for(away);
+        boost::asio::post(context_, [this, age, items] {
+            store_.restore_copy(age);
+            for (const auto& [key, value] : items) {
+                store_.put(key, value);
+            }
+            store_.set_available(true);
+        });
+    }
+
     [[nodiscard]] std::string database_entry(const std::string& state) const {
         return R"({"service":"s","address":")" + database_.address() +
                R"(","zone":"a","slots":2,"state":")" + state + R"(","db_role":"primary"})";
@@ -160,6 +191,7 @@
     session_standins::standin_store store_;
     session_standins::standin_database database_;
     std::vector<std::uint16_t> ports_;
+    std::chrono::steady_clock::time_point marked_at_;
     std::filesystem::path directory_;
     std::thread standin_thread_;
     std::optional<testbed::child_process> host_;
@@ -168,15 +200,14 @@
 /// @brief A caller's session that waits for the answer to each statement.
 class caller_session {
 public:
+    caller_session() : socket_{context_} {}
+
     explicit caller_session(std::uint16_t port, const std::string& database = "orders")
-        : socket_{context_} {
+        : caller_session{} {
         // The host accepts connections as soon as it starts, but refuses statements until it has
         // read its configuration. The session is therefore reopened until a statement is served.
         for (int attempt = 0; attempt < 100; ++attempt) {
-            socket_ = tcp::socket{context_};
-            socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
-            send("STARTUP " + database + " test");
-            if (read_line() == "READY I -" &&
+            if (open(port, database) == "READY I -" &&
                 !execute("READ probe").front().starts_with("ERROR BUSY")) {
                 return;
             }
@@ -185,6 +216,16 @@
         BOOST_FAIL("the host served no statement after 100 attempts to open a session");
     }
 
+    /// @brief Opens the session, or opens it again.
+    /// @return The first line of the answer.
+    std::string open(std::uint16_t port, const std::string& database) {
+        socket_ = tcp::socket{context_};
+        received_.clear();
+        socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+        send("STARTUP " + database + " test");
+        return read_line();
+    }
+
     /// @brief Sends a statement.
     /// @return The lines of the answer, including the READY line that ends it.
     std::vector<std::string> execute(const std::string& text) {
@@ -553,12 +594,12 @@
 // a host that stays unregistered under a lease that is gone.
 BOOST_AUTO_TEST_CASE(changes_are_followed_after_the_store_came_back_from_an_older_copy) {
     running_host host;
-    host.copy_store();
+    host.mark_store();
     caller_session session{host.caller_port()};
     host.put("op/config", running_host::configuration(3, {"orders", "added"}));
     caller_session added{host.caller_port(), "added"};
 
-    host.restore_store(running_host::configuration(2, {"orders"}));
+    host.restore_marked_store(running_host::configuration(2, {"orders"}));
     const auto restored_at = std::chrono::steady_clock::now();
     bool registered = false;
     while (!registered && std::chrono::steady_clock::now() - restored_at < 8s) {
@@ -571,16 +612,67 @@
     caller_session added_again{host.caller_port(), "added"};
     BOOST_TEST(added_again.execute("READ kit-1").front().starts_with("DATAROW"));
 
-    host.copy_store();
+    host.mark_store();
     host.put("op/config", running_host::configuration(4, {"orders"}));
     std::this_thread::sleep_for(1s);
-    host.restore_store(running_host::configuration(5, {"orders", "added", "last"}));
+    host.restore_marked_store(running_host::configuration(5, {"orders", "added", "last"}));
     const auto changed_at = std::chrono::steady_clock::now();
     caller_session last{host.caller_port(), "last"};
     BOOST_TEST((std::chrono::steady_clock::now() - changed_at < 4s));
     BOOST_TEST(session.execute("READ kit-1").front().starts_with("DATAROW"));
 }
 
+// Guards against sessions that are cut, statements that are refused and configurations that are
+// missed because the store has come back from an older copy: the configuration has a revision that
+// the host's watch has passed, and the store's revision is not below that of the watch.
+BOOST_AUTO_TEST_CASE(a_host_serves_and_follows_a_store_that_came_back_from_a_copy) {
+    running_host host;
+    caller_session session{host.caller_port()};
+    BOOST_TEST(session.execute("WRITE kit-1 blue").front() == "COMPLETE signed");
+    std::this_thread::sleep_for(1s);
+    // Written after the copy. The entry names no database.
+    const std::pair<std::string, std::string> lost{"servers/z-1", R"({"state":)"};
+    for (int change = 0; change < 5; ++change) {
+        host.put(lost.first, lost.second);
+        std::this_thread::sleep_for(100ms);
+    }
+    std::vector<std::pair<std::string, std::string>> written{
+        {"op/config", running_host::configuration(2, {"orders", "more-orders"})}};
+    written.resize(20, lost);
+    const auto returned_at = std::chrono::steady_clock::now() + 300ms;
+    host.restore_store(300ms, 1300ms, written);
+    std::size_t refused = 0;
+    while (std::chrono::steady_clock::now() - returned_at < 3s) {
+        refused += session.execute("READ kit-1").front() == "DATAROW blue" ? 0U : 1U;
+        std::this_thread::sleep_for(20ms);
+    }
+    BOOST_TEST(refused == 0U);
+    caller_session added{host.caller_port(), "more-orders"};
+    BOOST_TEST((std::chrono::steady_clock::now() - returned_at < 4s));
+    BOOST_TEST(!host.process().wait_for_exit(0ms).has_value());
+}
+
+// Guards against a host that uses a route that was withdrawn, or a database that has left, once its
+// process has started again: it must keep neither. Reported by another operator.
+BOOST_AUTO_TEST_CASE(a_restarted_host_uses_nothing_that_was_withdrawn) {
+    running_host host;
+    caller_session session{host.caller_port()};
+    host.put("op/config", running_host::configuration(2, {"more-orders"}));
+    host.remove("servers/i-1");
+    host.restart();
+    caller_session withdrawn;
+    std::string answer;
+    // Until the host has read its configuration, no database is unknown.
+    for (int attempt = 0; attempt < 50 && !answer.starts_with("ERROR"); ++attempt) {
+        std::this_thread::sleep_for(100ms);
+        answer = withdrawn.open(host.caller_port(), "orders");
+    }
+    BOOST_TEST(answer.starts_with("ERROR NODB"));
+    caller_session without_database;
+    BOOST_TEST(without_database.open(host.caller_port(), "more-orders") == "READY I -");
+    BOOST_TEST(without_database.execute("READ kit-1").front().starts_with("ERROR BUSY"));
+}
+
 // Guards against a planned stop that ends a session while its transaction is open.
 BOOST_AUTO_TEST_CASE(a_graceful_stop_waits_for_an_open_transaction) {
     running_host host;
