Show that a stopping host drops statements behind one that it answers (known red)

A session of a stopping host is closed as soon as nothing is outstanding. If the first of several statements that arrive together is answered by the host itself (SET, an unknown name), nothing is outstanding yet when it is answered, so the session is closed and the others in the same read are dropped. With a statement for a database in front, all four are answered.

--- a/tests/process/session_host_test.cpp
+++ b/tests/process/session_host_test.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
@@ -199,6 +201,25 @@
         return received;
     }
 
+    /// @brief Sends statements in one write, without waiting for answers.
+    /// @return Number of answers received before the host closed the session, at most one for each.
+    std::size_t execute_at_once(const std::vector<std::string>& texts) {
+        std::string lines;
+        for (const std::string& text : texts) {
+            lines += "QUERY q" + std::to_string(++last_query_) + " " + text + "\r\n";
+        }
+        boost::asio::write(socket_, boost::asio::buffer(lines));
+        std::size_t answers = 0;
+        while (answers < texts.size()) {
+            const std::string line = read_line();
+            if (line.empty()) {
+                break;
+            }
+            answers += line.starts_with("READY") ? 1 : 0;
+        }
+        return answers;
+    }
+
     /// @return True if the host has closed the session.
     bool closed() { return read_line().empty(); }
 
@@ -225,6 +246,15 @@
     int last_query_ = 0;
 };
 
+/// @return Number of answers to statements that arrive together 0.3 s after a planned stop began.
+std::size_t answers_in_a_stop(const std::vector<std::string>& statements) {
+    running_host host;
+    caller_session session{host.caller_port()};
+    host.process().send_signal(SIGTERM);
+    std::this_thread::sleep_for(300ms);
+    return session.execute_at_once(statements);
+}
+
 } // namespace
 
 // Guards against faults on the whole path of a statement, from the caller through the host program
@@ -388,4 +418,20 @@
     BOOST_TEST((host.process().wait_for_exit(10s) == std::optional<int>{0}));
 }
 
+// Guards against a stopping host that closes a session after its first answer although it has read
+// further statements, which arrived together.
+BOOST_AUTO_TEST_CASE(a_graceful_stop_answers_all_statements_that_arrived_together) {
+    BOOST_TEST(answers_in_a_stop({"READ kit-1", "READ kit-1", "WRITE kit-1 blue", "READ kit-1"}) ==
+               4U);
+}
+
+// The same, if the host answers the first statement itself. Listed in KNOWN-RED.txt; CI passes over
+// it until the host is fixed.
+BOOST_TEST_DECORATOR(*boost::unit_test::disabled())
+
+BOOST_DATA_TEST_CASE(a_graceful_stop_answers_statements_after_one_of_the_host,
+                     boost::unit_test::data::make({"EXECUTE unknown kit-1", "SET mode a"}), first) {
+    BOOST_TEST(answers_in_a_stop({first, "READ kit-1", "WRITE kit-1 blue", "READ kit-1"}) == 4U);
+}
+
 } // namespace lovagemoor
