--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -1614,10 +1614,10 @@
     const session_id caller = cluster.open("latest");
     cluster.send(caller, kind::write, "x");
     cluster.run_for(100ms);
-    // This host holds the lock because of another service.
+    cluster.restore_registry(cluster.entries());
+    // This host acquires the lock in the new era because of another service.
     cluster.apply(
         promotion_lock_answered{promotion_lock_result::acquired, promotion_token{7}, 8000ms});
-    cluster.restore_registry(cluster.entries());
     const core::service_id service{"s"};
     const suspicions_listed reports{{{service, sample.reported, core::host_id{"host-2"}},
                                      {service, sample.reported, core::host_id{"host-3"}}}};
