Do not pass on a success without a target's signature

Only commands of the host are answered so, hence the answer belongs to another command or was cut. Change: it counts as a mismatched reply: the connection is closed, a read runs again, a write is in doubt.

--- a/packages/proxy/src/engine/session_engine_replies.cpp
+++ b/packages/proxy/src/engine/session_engine_replies.cpp
@@ -15,9 +15,13 @@
 /// @return False if a successful reply cannot be the one to a command of the role: an answer was
 /// lost, and this one belongs to a later command.
 bool may_answer(reply_role role, const statement_result& result) noexcept {
-    if (result.error.has_value() || role == reply_role::caller_statement) {
+    if (result.error.has_value()) {
         return true;
     }
+    if (role == reply_role::caller_statement) {
+        // Only answers to commands of this host carry no signature.
+        return !result.signature.empty();
+    }
     const bool in_transaction = result.state == session_state::in_transaction;
     switch (role) {
     case reply_role::leadership_check:
