Count the eras of fencing tokens from 0

With a first era of 0, tokens of eras 0 and 1 could repeat, and a host that started in era 1 did not wait for holders of era 0. Change: a token is revision + era * 2^40, and a host waits after its start in any era but 0.

--- a/packages/proxy/include/lovagemoor/proxy/promotion/promotion_token.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/promotion/promotion_token.hpp
@@ -2,7 +2,6 @@
 
 #include <lovagemoor/proxy/registry/registry_call.hpp>
 
-#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -16,11 +15,11 @@
 public:
     /// Revisions of one era. At 1,000 changes per second they last for 34 years.
     static constexpr registry_revision revisions_per_era = registry_revision{1} << 40U;
-    /// Era of a registry that has never come back. Its tokens are plain revisions, as those of
-    /// builds that know no eras, so that hosts of both builds can take turns.
-    static constexpr registry_era first_era = 1;
+    /// Era of a registry that names none. Its tokens are plain revisions, as those of builds that
+    /// know no eras. The platform does not say with which number its eras begin.
+    static constexpr registry_era first_era = 0;
     /// Keeps value() below 2^63, the limit of a signed number of 64 bits.
-    static constexpr registry_era last_era = registry_era{1} << 23U;
+    static constexpr registry_era last_era = (registry_era{1} << 23U) - 1;
 
     /// @brief Lower than the token of any lock.
     constexpr promotion_token() = default;
@@ -32,7 +31,7 @@
     /// @return The number of the era that tokens count, which is the first one if none is named.
     [[nodiscard]] static constexpr registry_era
     counted_era(const std::optional<registry_era>& era) noexcept {
-        return std::max(era.value_or(first_era), first_era);
+        return era.value_or(first_era);
     }
 
     /// @return Empty if the token would not be greater than all those of earlier eras, or not less
