Close a connection whose answer has no result

READY without COMPLETE or ERROR decoded as a success, so an answer that was cut there could reach a caller.

--- a/packages/gateway/src/target_connections.cpp
+++ b/packages/gateway/src/target_connections.cpp
@@ -104,6 +104,10 @@
     case reply_progress::complete:
         break;
     }
+    if (source.started && !source.assembly.has_result) {
+        close_and_report(id, proxy::target_close_reason::malformed);
+        return;
+    }
     proxy::target_reply reply = std::exchange(source.assembly, {}).reply;
     if (!source.started) {
         on_started(id, reply.result);
--- a/packages/gateway/test/target_connections_test.cpp
+++ b/packages/gateway/test/target_connections_test.cpp
@@ -87,4 +87,34 @@
     BOOST_TEST((closed == nullptr || closed->reason == *sample.closed));
 }
 
+// Guards against an answer that was cut before its result and counts as a success.
+BOOST_AUTO_TEST_CASE(an_answer_without_a_result_is_malformed) {
+    boost::asio::io_context context;
+    tcp::acceptor acceptor{context, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    std::vector<proxy::event> seen;
+    target_connections connections{context, "host", one_line_codec(),
+                                   [&](const proxy::event& event) {
+                                       seen.push_back(event);
+                                       if (seen.size() == 2) {
+                                           context.stop();
+                                       }
+                                   }};
+    tcp::socket peer{context};
+    acceptor.async_accept(peer, [&](const boost::system::error_code& /*error*/) {
+        boost::asio::write(peer, boost::asio::buffer(std::string{"greeting\r\nanswer\r\n"}));
+    });
+    proxy::open_target request;
+    request.connection = 1;
+    request.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    request.connect_timeout = 1000ms;
+    request.greeting_timeout = 1000ms;
+    connections.perform(request);
+    context.run_for(5s);
+    BOOST_REQUIRE(seen.size() == 2U);
+    BOOST_TEST(std::holds_alternative<proxy::target_connected>(seen.front()));
+    const auto* const closed = std::get_if<proxy::target_disconnected>(&seen.back());
+    BOOST_REQUIRE(closed != nullptr);
+    BOOST_TEST((closed->reason == proxy::target_close_reason::malformed));
+}
+
 } // namespace lovagemoor::gateway
