--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -233,6 +233,11 @@
     // Replies of targets, session_engine_replies.cpp
     void on_leadership_reply(target_connection& connection, const expected_reply& expected,
                              const statement_result& result);
+    void on_preparation_error(const target_connection& connection, const statement_error& error);
+    /// @param caller Session whose statement follows the transaction that was rolled back; nullptr
+    /// if none does.
+    void on_rollback_reply(session* caller, target_connection& connection,
+                           const statement_result& result);
     void on_begin_reply(session& caller, target_connection& connection,
                         const expected_reply& expected, const statement_result& result);
     void on_statement_reply(session& caller, target_connection& connection,
--- a/packages/proxy/include/lovagemoor/proxy/session/prepared_statement.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/session/prepared_statement.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <compare>
 #include <string>
+#include <tuple>
 
 namespace lovagemoor::proxy {
 
@@ -10,8 +10,9 @@
     bool read_only = false;
     std::string shape;
 
-    friend std::strong_ordering operator<=>(const prepared_statement&,
-                                            const prepared_statement&) = default;
+    friend bool operator<(const prepared_statement& left, const prepared_statement& right) {
+        return std::tie(left.read_only, left.shape) < std::tie(right.read_only, right.shape);
+    }
 };
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/src/engine/session_engine_replies.cpp
+++ b/packages/proxy/src/engine/session_engine_replies.cpp
@@ -126,18 +126,7 @@
         break;
     case reply_role::preparation:
         if (result.error.has_value()) {
-            if (result.error->kind == statement_error_kind::not_prepared) {
-                // The answer to the deallocation of an evicted name that the target has dropped.
-                break;
-            }
-            log(core::log_event::level::warning, "preparation_failed",
-                {{"target", connection->target.value},
-                 {"connection", std::to_string(connection->id)},
-                 {"session", std::to_string(connection->user)},
-                 {"error", to_string(result.error->kind)},
-                 {"reason", result.error->text}});
-            drop_connection(input.connection);
-            return;
+            on_preparation_error(*connection, *result.error);
         }
         break;
     case reply_role::inspection:
@@ -147,17 +136,7 @@
         break;
     case reply_role::release:
     case reply_role::check_end:
-        if (result.error.has_value() || result.state != session_state::idle) {
-            // The next statement would run in the transaction that is still open.
-            log(core::log_event::level::warning, "rollback_failed",
-                {{"target", connection->target.value},
-                 {"connection", std::to_string(connection->id)}});
-            drop_connection(input.connection);
-            return;
-        }
-        if (caller != nullptr && caller->current->phase == request_phase::confirmed) {
-            send_statement(*caller, *connection, {});
-        }
+        on_rollback_reply(caller, *connection, result);
         break;
     }
     if (target_connection* const still_open = pool_.find(input.connection)) {
@@ -168,6 +147,35 @@
     }
 }
 
+void session_engine::on_preparation_error(const target_connection& connection,
+                                          const statement_error& error) {
+    if (error.kind == statement_error_kind::not_prepared) {
+        // The answer to the deallocation of an evicted name that the target has dropped.
+        return;
+    }
+    log(core::log_event::level::warning, "preparation_failed",
+        {{"target", connection.target.value},
+         {"connection", std::to_string(connection.id)},
+         {"session", std::to_string(connection.user)},
+         {"error", to_string(error.kind)},
+         {"reason", error.text}});
+    drop_connection(connection.id);
+}
+
+void session_engine::on_rollback_reply(session* caller, target_connection& connection,
+                                       const statement_result& result) {
+    if (result.error.has_value() || result.state != session_state::idle) {
+        // The next statement would run in the transaction that is still open.
+        log(core::log_event::level::warning, "rollback_failed",
+            {{"target", connection.target.value}, {"connection", std::to_string(connection.id)}});
+        drop_connection(connection.id);
+        return;
+    }
+    if (caller != nullptr && caller->current->phase == request_phase::confirmed) {
+        send_statement(*caller, connection, {});
+    }
+}
+
 void session_engine::on_inspected(const core::target_id& inspected, const target_status& status) {
     const target_state* const target = pool_.find(inspected);
     if (!status.primary) {
