Wait for a former primary that has followed a later one

With synchronous replicas, a target that was demoted once, followed the next primary, acknowledged its commits and lost its entry was left out of the candidates, and a replica behind it was promoted. Cause: a demotion excluded the target for good; since demotions outlive the removal of their target, also after its restart. Change: it excludes the target until another one leads in a later term.

--- a/packages/proxy/src/engine/session_engine_promotion.cpp
+++ b/packages/proxy/src/engine/session_engine_promotion.cpp
@@ -148,9 +148,12 @@
     input.synchronous_replicas = synchronous_replicas_of(id);
     for (const target_state* const target : pool_.of_service(id)) {
         const bool listed = !target->removed_at.has_value();
-        // A former primary acknowledges nothing after its demotion that its replicas lack.
-        const bool may_be_ahead =
-            may_hold_commits(*target) && !state.view.demoted(target->record.id);
+        // A former primary acknowledges nothing after its demotion that its replicas lack. Once
+        // another one leads in a later term, it may have followed that one.
+        const std::optional<core::term_number> demotion =
+            state.view.demotion_term(target->record.id);
+        const bool is_behind = demotion.has_value() && state.view.term() < *demotion;
+        const bool may_be_ahead = may_hold_commits(*target) && !is_behind;
         if (target->record.id != input.primary && (listed || may_be_ahead)) {
             input.replicas.push_back({target->record.id, target->record.draining, listed,
                                       target->record.draining && now_ - target->draining_since >=
