--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -389,6 +389,8 @@
     bool ready_ = false;
     /// The next list of demotions may lack some that this host knows.
     bool demotions_may_be_lost_ = false;
+    /// The demotions are listed as soon as demotions_list_interval allows it.
+    bool demotions_list_due_ = false;
     /// Targets, hosts or limits have changed since the last update_min_connections().
     bool min_connections_outdated_ = true;
     std::optional<core::time_point> stopping_since_;
--- a/packages/proxy/src/engine/session_engine.cpp
+++ b/packages/proxy/src/engine/session_engine.cpp
@@ -109,7 +109,7 @@
     update_targets();
     forget_removed_hosts();
     update_isolation();
-    if (!demotions_requested_at_.has_value()) {
+    if (!demotions_requested_at_.has_value() || demotions_list_due_) {
         request_demotions();
     }
     for (auto& [id, state] : services_) {
--- a/packages/proxy/src/engine/session_engine_promotion.cpp
+++ b/packages/proxy/src/engine/session_engine_promotion.cpp
@@ -430,7 +430,7 @@
     log(core::log_event::level::warning, "demotion_not_restored",
         {{"service", input.service.value}});
     demotions_may_be_lost_ = true;
-    request_demotions();
+    demotions_list_due_ = true;
 }
 
 void session_engine::apply_demotion(const primary_demotion& demotion) {
--- a/packages/proxy/src/engine/session_engine_requests.cpp
+++ b/packages/proxy/src/engine/session_engine_requests.cpp
@@ -104,6 +104,7 @@
     if (!demotions_requested_at_.has_value() ||
         now_ - *demotions_requested_at_ >= settings_.demotions_list_interval) {
         demotions_requested_at_ = now_;
+        demotions_list_due_ = false;
         out_.emplace_back(list_demotions{});
     }
 }
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -1758,6 +1758,27 @@
     BOOST_TEST(cluster.performed<promote_target>().empty());
 }
 
+// Guards against a demotion that stays lost because the registry refuses its announcement twice in
+// quick succession.
+BOOST_AUTO_TEST_CASE(a_demotion_is_announced_again_after_two_quick_failures) {
+    fake_cluster cluster = started();
+    const core::service_id service{"s"};
+    cluster.apply(demotion_announced{{service, t0, 2, 40}});
+    cluster.run_for(100ms);
+    cluster.apply(registry_restored{1, 2});
+    cluster.apply(demotions_listed{});
+    std::size_t answered = 0;
+    for (int step = 0; step < 8000; ++step) {
+        cluster.run_for(1ms);
+        const std::size_t written = cluster.performed<restore_demotion>().size();
+        if (written > answered && written <= 2) {
+            answered = written;
+            cluster.apply(demotion_restore_answered{service, false});
+        }
+    }
+    BOOST_TEST(cluster.performed<restore_demotion>().size() == 3U);
+}
+
 // Guards against the use of a replaced primary by a host that was cut off with it and lists the
 // demotions of a copy that lacks the announcement, before another host has written it again.
 BOOST_AUTO_TEST_CASE(a_list_of_a_copy_does_not_renew_a_lapsed_lease) {
