Let a target without a start time become ready again

An entry without a start time counts as 0, so that every process of such a target was taken for the one that drained. Evidence: a_target_without_a_start_time_is_used_after_its_restart failed before.

--- a/packages/proxy/src/engine/session_engine_registry.cpp
+++ b/packages/proxy/src/engine/session_engine_registry.cpp
@@ -95,6 +95,7 @@
     target_record record = listed;
     const target_knowledge known = knowledge_of(listed);
     record.draining = listed.draining || (known.record.has_value() && known.record->draining &&
+                                          listed.started_ms != 0 &&
                                           known.record->started_ms == listed.started_ms);
     return record;
 }
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -1779,6 +1779,41 @@
     BOOST_TEST(cluster.performed<restore_demotion>().size() == 3U);
 }
 
+// Guards against a target that is not used any more after a planned restart because its entries
+// name no start time.
+BOOST_AUTO_TEST_CASE(a_target_without_a_start_time_is_used_after_its_restart) {
+    fake_cluster cluster;
+    cluster.start_reference();
+    for (auto& [id, target] : cluster.targets) {
+        target.record.started_ms = 0;
+    }
+    cluster.list_targets();
+    cluster.run_for(500ms);
+    cluster.targets.at(t1).record.draining = true;
+    cluster.targets.at(t2).record.draining = true;
+    cluster.list_targets();
+    cluster.run_for(1s);
+    cluster.unlisted.insert(t1);
+    cluster.unlisted.insert(t2);
+    cluster.list_targets();
+    cluster.run_for(20s);
+    cluster.unlisted.clear();
+    cluster.targets.at(t1).record.draining = false;
+    cluster.targets.at(t2).record.draining = false;
+    cluster.list_targets();
+    cluster.run_for(20s);
+    const session_id caller = cluster.open("bounded");
+    std::set<core::target_id> used;
+    for (int index = 0; index < 20; ++index) {
+        const std::string read = cluster.send(caller, kind::read, "x");
+        cluster.run_for(100ms);
+        for (const core::target_id& target : cluster.ran_at(read)) {
+            used.insert(target);
+        }
+    }
+    BOOST_TEST((used.contains(t1) || used.contains(t2)));
+}
+
 // Guards against the use of a replaced primary by a host that was cut off with it and lists the
 // demotions of a copy that lacks the announcement, before another host has written it again.
 BOOST_AUTO_TEST_CASE(a_list_of_a_copy_does_not_renew_a_lapsed_lease) {
