Keep hosts that a list lacks right after a return of the registry

A host could list the hosts before the others had registered again, took itself for the only one and promoted alone.

--- a/packages/proxy/src/engine/session_engine_registry.cpp
+++ b/packages/proxy/src/engine/session_engine_registry.cpp
@@ -198,6 +198,10 @@
         listed.insert(record.host);
         update_host(record);
     }
+    if (registry_incomplete(now_)) {
+        // Hosts that are missing may not have registered again yet. The next list tells.
+        return;
+    }
     for (auto& [id, state] : hosts_) {
         if (!listed.contains(id) && !state.removed_at.has_value()) {
             mark_host_removed(id, state);
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -1814,6 +1814,39 @@
     BOOST_TEST((used.contains(t1) || used.contains(t2)));
 }
 
+// Guards against a failover by one host alone because it has listed the hosts before the others
+// have registered again after a return of the registry.
+BOOST_AUTO_TEST_CASE(one_host_alone_does_not_replace_a_primary_after_a_return) {
+    fake_cluster cluster = started();
+    cluster.send(cluster.open("latest"), kind::write, "x");
+    cluster.run_for(100ms);
+    cluster.apply(registry_restored{1, 2});
+    cluster.apply(hosts_listed{{{core::host_id{"host-1"}, core::domain_id{"a"}}}});
+    cluster.run_for(1s);
+    cluster.targets.at(t0).reachable = false;
+    cluster.run_for(4s);
+    BOOST_TEST(cluster.performed<acquire_promotion_lock>().empty());
+}
+
+// Guards against a session that is closed twice because it is listed once for each answer.
+BOOST_AUTO_TEST_CASE(a_session_that_ends_is_closed_once) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    cluster.send(caller, kind::write, "x");
+    cluster.run_for(100ms);
+    cluster.apply(stop_requested{});
+    cluster.run_for(10ms);
+    for (int index = 0; index < 3; ++index) {
+        cluster.send(caller, kind::set, "a", "b");
+    }
+    cluster.run_for(20s);
+    std::size_t closed = 0;
+    for (const close_session& closing : cluster.performed<close_session>()) {
+        closed += closing.session == caller ? 1U : 0U;
+    }
+    BOOST_TEST(closed == 1U);
+}
+
 // Guards against the use of a replaced primary by a host that was cut off with it and lists the
 // demotions of a copy that lacks the announcement, before another host has written it again.
 BOOST_AUTO_TEST_CASE(a_list_of_a_copy_does_not_renew_a_lapsed_lease) {
