Leave a pending watch time to return what a check shows

Cause: for 10 s after a failed call, checks ran also beside watches that were being answered. A change that such a watch was about to return counted as lost, a second watch returned the same documents again, and each finding extended the time of checks, so that hosts fell behind during a series of configurations. Change: a change newer than the watch counts as lost only once the watch has been pending for 1.2 s, and does not extend that time; calls that were refused without being executed do not begin it; a list that is not stale serves the checks of the other followers, too.

--- a/packages/proxy/include/lovagemoor/proxy/registry/registry_follower.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/registry_follower.hpp
@@ -121,7 +121,7 @@
     [[nodiscard]] const std::string& prefix() const noexcept { return prefix_; }
 
 private:
-    void on_failure(core::time_point now);
+    void on_failure(core::time_point now, registry_status status);
     void track(const std::vector<item_change>& changes);
 
     [[nodiscard]] bool is_watching() const noexcept { return under_way_ && !listing_; }
@@ -151,6 +151,8 @@
     /// Time at which history was last lost.
     std::optional<core::time_point> history_lost_at_;
     core::time_point disturbed_until_;
+    /// Time at which the pending watch was requested.
+    core::time_point watching_since_;
 
     bool checking_ = false;
     /// Changes arrived since the list of the pending check was requested.
--- a/packages/proxy/src/registry/registry_follower.cpp
+++ b/packages/proxy/src/registry/registry_follower.cpp
@@ -16,6 +16,7 @@
     if (listing_) {
         return list_items{prefix_, after_key_, polls()};
     }
+    watching_since_ = now;
     if (now >= disturbed_until_) {
         // The answer of a watch only tells what happened since the revision from which it
         // continued. After a disturbance, an earlier one may have skipped changes.
@@ -30,7 +31,7 @@
     registry_follower next = *this;
     next.under_way_ = false;
     next.checking_ = false;
-    next.on_failure(now);
+    next.on_failure(now, registry_status::unknown);
     return next;
 }
 
@@ -111,6 +112,13 @@
         watch_returns_it = true;
     }
     if (watch_returns_it) {
+        if (now - watching_since_ < settings_.check_interval_disturbed) {
+            // The watch may be about to return it.
+            check_after_key_.clear();
+            checked_at_ = now;
+            check_pause_ = settings_.check_interval_disturbed;
+            return check_result::passed;
+        }
         return on_mismatch(now, false);
     }
     if (page.more && !page.items.empty()) {
@@ -131,7 +139,9 @@
                                                                bool list_again) {
     check_after_key_.clear();
     list_again_ = list_again;
-    on_disturbance(now);
+    if (list_again) {
+        on_disturbance(now);
+    }
     return check_result::watch_lost;
 }
 
@@ -161,7 +171,7 @@
 registry_follower::update registry_follower::on_page(core::time_point now, const item_page& page) {
     under_way_ = false;
     if (page.status != registry_status::done) {
-        on_failure(now);
+        on_failure(now, page.status);
         return {};
     }
     failures_ = 0;
@@ -203,7 +213,7 @@
         return {};
     }
     if (changes.status != registry_status::done) {
-        on_failure(now);
+        on_failure(now, changes.status);
         return {};
     }
     failures_ = 0;
@@ -234,10 +244,13 @@
     retry_at_ = paused_until_;
 }
 
-void registry_follower::on_failure(core::time_point now) {
+void registry_follower::on_failure(core::time_point now, registry_status status) {
     const unsigned doublings = std::min(failures_, 4U);
     ++failures_;
-    on_disturbance(now);
+    if (status != registry_status::rejected) {
+        // A call that was not executed has lost no answer.
+        on_disturbance(now);
+    }
     retry_at_ = now + std::min<core::duration>(settings_.retry_pause * (1U << doublings),
                                                settings_.retry_pause_max);
 }
--- a/packages/proxy/test/registry/registry_follower_test.cpp
+++ b/packages/proxy/test/registry/registry_follower_test.cpp
@@ -301,6 +301,35 @@
     BOOST_TEST(next->may_be_stale == sample.next_may_be_stale);
 }
 
+// Guards against taking a watch for lost that is about to return a change: during a series of
+// configurations each check did, each new watch returned the same documents again, and hosts of
+// halgeld-pool-grown fell behind (CONFIG).
+BOOST_AUTO_TEST_CASE(a_watch_has_time_to_return_what_a_check_shows) {
+    registry_follower follower = listed({.check_interval = 2400ms});
+    follower.on_disturbance(start);
+    BOOST_REQUIRE(watches_after(follower.next_call(start), 7));
+    static_cast<void>(follower.on_changes(start + 2300ms, {registry_status::done, {}, 8}));
+    BOOST_REQUIRE(watches_after(follower.next_call(start + 2300ms), 8));
+    const item_page change = page({{"p/a", "2", 9}}, false, 9);
+    BOOST_REQUIRE(follower.next_check(start + 2400ms).has_value());
+    BOOST_TEST((follower.on_check(start + 2410ms, change) == check_result::passed));
+    BOOST_REQUIRE(follower.next_check(start + 3700ms).has_value());
+    BOOST_TEST((follower.on_check(start + 3710ms, change) == check_result::watch_lost));
+}
+
+// Guards against billed lists after calls that the registry refused without executing them.
+BOOST_AUTO_TEST_CASE(a_refused_call_is_no_disturbance) {
+    registry_follower follower = listed({.check_interval = 2400ms});
+    BOOST_REQUIRE(watches_after(follower.next_call(start), 7));
+    static_cast<void>(follower.on_changes(start, {registry_status::rejected, {}, 0}));
+    BOOST_REQUIRE(watches_after(follower.next_call(start + 1s), 7));
+    static_cast<void>(follower.on_changes(start + 1s, {registry_status::done, {}, 7}));
+    BOOST_REQUIRE(watches_after(follower.next_call(start + 1s), 7));
+    const std::optional<list_items> check = follower.next_check(start + 4s);
+    BOOST_REQUIRE(check.has_value());
+    BOOST_TEST(check->may_be_stale);
+}
+
 // Guards against billed lists after a disturbance is over.
 BOOST_AUTO_TEST_CASE(a_disturbance_ends) {
     registry_follower follower = listed({.check_interval = 2400ms});
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -434,8 +434,13 @@
         const std::optional<proxy::list_items> check =
             (*slot)->next_check(time, recent_revisions_.oldest(time));
         if (check.has_value()) {
-            registry_client_.list(*check, [this, weak = std::weak_ptr<proxy::registry_follower>{
-                                                     *slot}](const proxy::item_page& page) {
+            const bool is_exact = !check->may_be_stale;
+            registry_client_.list(*check, [this, time, is_exact,
+                                           weak = std::weak_ptr<proxy::registry_follower>{*slot}](
+                                              const proxy::item_page& page) {
+                if (is_exact && page.status == proxy::registry_status::done) {
+                    recent_revisions_.note(time, page.revision);
+                }
                 if (const auto checked = weak.lock()) {
                     finish_check(checked, page);
                 }
