--- a/packages/proxy/src/engine/session_engine_registry.cpp
+++ b/packages/proxy/src/engine/session_engine_registry.cpp
@@ -94,9 +94,9 @@
 target_record session_engine::with_known_drain(const target_record& listed) const {
     target_record record = listed;
     const target_knowledge known = knowledge_of(listed);
-    record.draining = listed.draining || (known.record.has_value() && known.record->draining &&
-                                          listed.started_ms != 0 &&
-                                          known.record->started_ms == listed.started_ms);
+    record.draining = listed.draining ||
+                      (known.record.has_value() && known.record->draining &&
+                       listed.started_ms != 0 && known.record->started_ms == listed.started_ms);
     return record;
 }
 
