Do not take the natural end of history for a disturbance

This counted as lost history, after which the followers make lists that may not be stale for 10 s. Change: only a loss under a watch that has been pending for less than 5 s counts.

--- a/packages/proxy/include/lovagemoor/proxy/registry/registry_follower.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/registry_follower.hpp
@@ -42,6 +42,10 @@
     /// was lost. Lists that may be stale were seen 5.5 s behind in such a time (compact-317), and
     /// are taken to be at most 10 s behind.
     std::chrono::milliseconds disturbance_duration{10000};
+    /// A watch that has been pending for longer and finds its history gone has outlived the history
+    /// that the registry keeps (20 s in the reference deployments; a watch takes up to 25 s). Only
+    /// an earlier loss counts as a disturbance.
+    std::chrono::milliseconds history_loss_age{5000};
     std::chrono::milliseconds retry_pause{150};
     std::chrono::milliseconds retry_pause_max{600};
 };
@@ -115,6 +119,9 @@
     /// @return True if the last call succeeded.
     [[nodiscard]] bool connected() const noexcept { return failures_ == 0; }
 
+    /// @return True if the loss of history under the pending watch counts as a disturbance.
+    [[nodiscard]] bool lost_history_early(core::time_point now) const;
+
     /// @return Revision from which the next watch continues.
     [[nodiscard]] registry_revision revision() const noexcept { return revision_; }
 
--- a/packages/proxy/src/registry/registry_follower.cpp
+++ b/packages/proxy/src/registry/registry_follower.cpp
@@ -54,6 +54,10 @@
     return next;
 }
 
+bool registry_follower::lost_history_early(core::time_point now) const {
+    return now - watching_since_ < settings_.history_loss_age;
+}
+
 void registry_follower::on_disturbance(core::time_point now) {
     disturbed_until_ = now + settings_.disturbance_duration;
 }
@@ -204,7 +208,9 @@
     if (changes.status == registry_status::history_lost) {
         listing_ = true;
         after_key_.clear();
-        on_disturbance(now);
+        if (lost_history_early(now)) {
+            on_disturbance(now);
+        }
         // A registry that drops its history continually must not be called without a pause.
         const bool in_succession =
             history_lost_at_.has_value() && now - *history_lost_at_ < settings_.retry_pause_max;
--- a/packages/proxy/test/registry/registry_follower_test.cpp
+++ b/packages/proxy/test/registry/registry_follower_test.cpp
@@ -330,6 +330,36 @@
     BOOST_TEST(check->may_be_stale);
 }
 
+struct history_loss_case {
+    const char* name;
+    core::duration pending;
+    bool may_be_stale;
+
+    friend std::ostream& operator<<(std::ostream& output, const history_loss_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<history_loss_case> history_losses{
+    {"at once", 10ms, false},
+    {"after longer than the registry keeps its history", 25s, true},
+};
+
+// Guards against billed lists on a quiet day, on which long watches outlive the registry's history.
+BOOST_DATA_TEST_CASE(an_early_loss_of_history_is_a_disturbance,
+                     boost::unit_test::data::make(history_losses), sample) {
+    registry_follower follower = listed({.check_interval = 2400ms});
+    BOOST_REQUIRE(watches_after(follower.next_call(start), 7));
+    const core::time_point lost = start + sample.pending;
+    static_cast<void>(follower.on_changes(lost, {registry_status::history_lost, {}, 0}));
+    BOOST_REQUIRE(lists(follower.next_call(lost)));
+    static_cast<void>(follower.on_page(lost, page({{"p/a", "1", 5}}, false, 8)));
+    BOOST_REQUIRE(watches_after(follower.next_call(lost), 8));
+    const std::optional<list_items> check = follower.next_check(lost + 2400ms);
+    BOOST_REQUIRE(check.has_value());
+    BOOST_TEST(check->may_be_stale == sample.may_be_stale);
+}
+
 // Guards against billed lists after a disturbance is over.
 BOOST_AUTO_TEST_CASE(a_disturbance_ends) {
     registry_follower follower = listed({.check_interval = 2400ms});
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -388,10 +388,11 @@
                                if (changes.status == proxy::registry_status::done) {
                                    recent_revisions_.note(internal::now(), changes.revision);
                                }
-                               if (changes.status == proxy::registry_status::history_lost) {
-                                   note_disturbance();
-                               }
-                               process_result([&changes](proxy::registry_follower& source) {
+                               process_result([&changes, this](proxy::registry_follower& source) {
+                                   if (changes.status == proxy::registry_status::history_lost &&
+                                       source.lost_history_early(internal::now())) {
+                                       note_disturbance();
+                                   }
                                    return source.on_changes(internal::now(), changes);
                                });
                            });
