Identify callers by the key of their organisation

A connection to a target belongs to the organisation that the target was told. A key is only used while the configuration is proved to be the newest, within the bound of the settings. Adds the settings and the messages of the link between hosts.

--- a/packages/gateway/include/lovagemoor/gateway/statement_codec.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/statement_codec.hpp
@@ -18,6 +18,8 @@
 /// @brief Opens the session.
 struct startup_message {
     std::string database;
+    /// Identifies the caller's organisation. Empty if it was not given.
+    std::string key;
 };
 
 /// @brief Ends the session.
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -74,7 +74,8 @@
                                             "the session has begun", std::nullopt});
                            return;
                        }
-                       sink_(proxy::session_opened{session, std::move(start.database)});
+                       sink_(proxy::session_opened{session, std::move(start.database),
+                                                   std::move(start.key)});
                    },
                    [&](proxy::statement& statement) {
                        if (!sender.started) {
--- a/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
@@ -47,6 +47,9 @@
     core::connection_id connection = 0;
     core::target_id target;
     core::service_id service;
+    /// Organisation for which the connection is used. The target is told the host's name instead if
+    /// it is empty.
+    core::organisation_id organisation;
     /// ip:port
     std::string address;
     /// Timeout for establishing the TCP connection.
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -27,6 +27,8 @@
 struct session_opened {
     session_id session = 0;
     std::string database;
+    /// Identifies the caller's organisation. Must not be logged.
+    std::string key;
 };
 
 struct statement_received {
@@ -88,6 +90,12 @@
     proxy::configuration configuration;
 };
 
+/// @brief The registry proved that the configuration in force is its newest one.
+struct configuration_confirmed {
+    /// Time at which the call that proves it was sent.
+    core::time_point as_of;
+};
+
 /// @brief The complete list of targets.
 struct targets_listed {
     std::vector<target_record> targets;
@@ -251,14 +259,13 @@
 /// @brief The time returned by session_engine::next_wakeup() is reached.
 struct timer_expired {};
 
-using event =
-    std::variant<session_opened, statement_received, session_closed, session_output_changed,
-                 target_connected, target_replied, target_disconnected, configuration_changed,
-                 targets_listed, target_changed, target_removed, hosts_listed, suspicions_listed,
-                 suspicion_reported, suspicion_withdrawn, suspicion_publish_failed,
-                 suspicion_withdrawal_failed, promotion_lock_answered, promotion_lock_taken,
-                 promotion_lock_released, promotion_answered, demotion_announced, demotions_listed,
-                 demotion_publish_answered, demotion_restore_answered, registry_contacted,
-                 registry_reachable, registry_restored, stop_requested, timer_expired>;
+using event = std::variant<
+    session_opened, statement_received, session_closed, session_output_changed, target_connected,
+    target_replied, target_disconnected, configuration_changed, configuration_confirmed,
+    targets_listed, target_changed, target_removed, hosts_listed, suspicions_listed,
+    suspicion_reported, suspicion_withdrawn, suspicion_publish_failed, suspicion_withdrawal_failed,
+    promotion_lock_answered, promotion_lock_taken, promotion_lock_released, promotion_answered,
+    demotion_announced, demotions_listed, demotion_publish_answered, demotion_restore_answered,
+    registry_contacted, registry_reachable, registry_restored, stop_requested, timer_expired>;
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -15,6 +15,8 @@
 #include <lovagemoor/proxy/routing/primary_view.hpp>
 #include <lovagemoor/proxy/session/session.hpp>
 
+#include <boost/outcome/result.hpp>
+
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -112,6 +114,7 @@
     void on(const target_replied& input);
     void on(const target_disconnected& input);
     void on(const configuration_changed& input);
+    void on(const configuration_confirmed& input);
     void on(const targets_listed& input);
     void on(const target_changed& input);
     void on(const target_removed& input);
@@ -164,12 +167,22 @@
     void close_finished_sessions();
     void close_sessions(const std::vector<session_id>& ids);
     [[nodiscard]] std::shared_ptr<const route> find_route(const std::string& database) const;
+    /// @brief Result of identify(): an organisation, empty for a caller that needs no key.
+    using identification = boost::outcome_v2::checked<core::organisation_id, statement_error>;
+
+    /// @return The organisation of a caller, or why its statements must not run.
+    [[nodiscard]] identification identify(const session& caller, const route& via) const;
+    /// @return False if a key may have been withdrawn without this host having learned of it.
+    [[nodiscard]] bool may_use_keys() const;
+    /// @brief Answers a statement of a caller that was not identified.
+    void reject_statement(session& caller, const statement_error& error);
     /// @return Error for a statement whose database has no known route.
     [[nodiscard]] statement_error missing_route() const;
     [[nodiscard]] bool writes(const session& caller, const statement& work) const;
 
     // Requests, session_engine_requests.cpp
-    void start_request(session& caller, const statement& work, std::shared_ptr<const route> via);
+    void start_request(session& caller, const statement& work, std::shared_ptr<const route> via,
+                       core::organisation_id organisation);
     void dispatch_request(session& caller);
     void enqueue_waiting(session& caller, wait_reason reason);
     void wait_for_primary(session& caller);
@@ -207,8 +220,14 @@
     /// @return Time for which a draining target is used as the primary.
     [[nodiscard]] std::chrono::milliseconds draining_primary_use_time() const;
     target_connection* acquire_connection(session& caller, target_state& target);
+    /// @param organisation Organisation that uses the connection; empty for this host's own use.
     /// @return 0 if no further connection may be opened.
-    core::connection_id open_connection(target_state& target);
+    core::connection_id open_connection(target_state& target,
+                                        const core::organisation_id& organisation = {});
+    /// @brief Closes the idle connection of another organisation that was used least recently.
+    /// @return False if there is none.
+    bool close_idle_connection(target_state& target, const core::organisation_id& organisation);
+    /// @return True if a connection may be opened, if necessary in place of an idle one.
     [[nodiscard]] bool may_open(const target_state& target) const;
     void run_on(session& caller, target_connection& connection);
     void send_statement(session& caller, target_connection& connection,
@@ -376,6 +395,10 @@
     departed_targets departed_targets_;
     std::map<core::service_id, service_state> services_;
     std::optional<configuration> configuration_;
+    /// Latest time at which the configuration is known to have been the newest.
+    std::optional<core::time_point> configuration_confirmed_at_;
+    /// Some route requires a key.
+    bool keys_required_ = false;
     std::map<core::host_id, host_state> hosts_;
     /// Incremented whenever the set of live hosts changes.
     std::uint64_t hosts_version_ = 0;
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
@@ -129,6 +129,12 @@
     /// Upper limit for the time between two completions when the throughput of a queue is
     /// estimated. Longer intervals come from failures, not from load.
     std::chrono::milliseconds max_completion_interval{200};
+    /// Time after the acknowledgement of a configuration without a key within which the key is no
+    /// longer used by any host, also by those cut off from the registry; 0 for no such bound.
+    std::chrono::milliseconds key_withdrawal{0};
+    /// Part of key_withdrawal at its end in which keys are not used. Covers the resolution of the
+    /// clocks and a host's turn of events.
+    std::chrono::milliseconds key_withdrawal_margin{250};
     /// Maximum number of statements that a session may send before its current one is answered.
     std::size_t max_backlog = 32;
     /// Limit on the memory of the names, values and shapes that a session may keep, so that one
--- a/packages/proxy/include/lovagemoor/proxy/pool/target_connection.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/pool/target_connection.hpp
@@ -43,6 +43,8 @@
 struct target_connection {
     core::connection_id id = 0;
     core::target_id target;
+    /// Organisation that the target was told. Statements of no other one may run on the connection.
+    core::organisation_id organisation;
     connection_phase phase = connection_phase::opening;
     /// Session values that are set at the target.
     std::map<std::string, std::string> values;
--- a/packages/proxy/include/lovagemoor/proxy/pool/target_pool.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/pool/target_pool.hpp
@@ -78,15 +78,23 @@
     [[nodiscard]] std::vector<target_state*> of_service(const core::service_id& service);
 
     /// @brief Registers a connection that is being opened.
-    target_connection& open(target_state& target, core::connection_id id, core::time_point now);
+    target_connection& open(target_state& target, core::connection_id id,
+                            const core::organisation_id& organisation, core::time_point now);
 
     /// @brief Marks a connection as open and idle.
     void on_opened(target_connection& connection, core::time_point now);
 
     /// @brief Takes an idle connection, preferably one that the session used before.
+    /// @param organisation Organisation of the connection; empty to take any, for commands of this
+    /// host.
     /// @return nullptr if none is idle.
-    [[nodiscard]] target_connection* acquire(target_state& target, session_id session,
-                                             core::time_point now);
+    [[nodiscard]] target_connection*
+    acquire(target_state& target, session_id session,
+            const std::optional<core::organisation_id>& organisation, core::time_point now);
+
+    /// @return True if a connection of the organisation is idle.
+    [[nodiscard]] bool has_idle(const target_state& target,
+                                const core::organisation_id& organisation) const;
 
     /// @brief Returns a connection that has no transaction and expects no reply.
     void release(target_connection& connection, core::time_point now);
--- a/packages/proxy/include/lovagemoor/proxy/registry/configuration.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/configuration.hpp
@@ -33,6 +33,8 @@
     std::chrono::milliseconds latency_objective{0};
     /// 0 is the most urgent.
     unsigned priority = 0;
+    /// Callers must present a key of an organisation.
+    bool requires_key = false;
 
     friend bool operator==(const route&, const route&) = default;
 };
@@ -47,12 +49,26 @@
     friend bool operator==(const service_limits&, const service_limits&) = default;
 };
 
+/// @brief A customer of the operators. Its callers are known by its keys.
+struct organisation {
+    core::organisation_id id;
+    /// Limit on its operations on all hosts together, in operations per second; 0 for none.
+    double rate_per_s = 0;
+    /// Operations that it may start at once, beside the rate.
+    double burst = 0;
+
+    friend bool operator==(const organisation&, const organisation&) = default;
+};
+
 /// @brief A version of the configuration set by the operators.
 struct configuration {
     std::int64_t version = -1;
     /// Routes by database name. Shared, so that a transaction keeps the route with which it began.
     std::map<std::string, std::shared_ptr<const route>, std::less<>> routes;
     std::map<core::service_id, service_limits> services;
+    std::map<core::organisation_id, organisation> organisations;
+    /// The organisation that holds each key.
+    std::map<std::string, core::organisation_id, std::less<>> keys;
     /// Time after which an open transaction without a statement is rolled back.
     std::chrono::milliseconds transaction_idle_timeout{3000};
 };
--- a/packages/proxy/include/lovagemoor/proxy/session/session.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/session/session.hpp
@@ -22,6 +22,7 @@
 struct transaction {
     bool read_only = false;
     std::shared_ptr<const route> via;
+    core::organisation_id organisation;
     /// Time at which the caller's BEGIN arrived.
     core::time_point began;
     /// Time at which the last statement was answered.
@@ -63,6 +64,8 @@
 struct request {
     proxy::statement work;
     std::shared_ptr<const route> via;
+    /// Organisation for which it runs; empty on a route without keys.
+    core::organisation_id organisation;
     bool writes = false;
     core::time_point received;
     core::time_point deadline;
@@ -86,6 +89,8 @@
 struct session {
     session_id id = 0;
     std::string database;
+    /// Identifies the caller's organisation. Must not be logged.
+    std::string key;
     session_state state = session_state::idle;
     std::map<std::string, std::string> values;
     std::map<std::string, prepared_statement> prepared;
--- a/packages/proxy/src/engine/session_engine.cpp
+++ b/packages/proxy/src/engine/session_engine.cpp
@@ -40,12 +40,27 @@
     session& caller = sessions_[input.session];
     caller.id = input.session;
     caller.database = input.database;
-    if (configuration_.has_value() && find_route(input.database) == nullptr) {
+    caller.key = input.key;
+    const std::shared_ptr<const route> via = find_route(input.database);
+    if (configuration_.has_value() && via == nullptr) {
         out_.emplace_back(reject_session{
             input.session, {statement_error_kind::unknown_database, "no route", std::nullopt}});
         sessions_.erase(input.session);
         return;
     }
+    if (via != nullptr) {
+        const identification caller_identity = identify(caller, *via);
+        if (!caller_identity &&
+            caller_identity.error().kind == statement_error_kind::not_authorized) {
+            log(core::log_event::level::info, "session_rejected",
+                {{"session", std::to_string(input.session)},
+                 {"database", input.database},
+                 {"reason", caller_identity.error().text}});
+            out_.emplace_back(reject_session{input.session, caller_identity.error()});
+            sessions_.erase(input.session);
+            return;
+        }
+    }
     out_.emplace_back(accept_session{input.session});
 }
 
@@ -109,6 +124,7 @@
     update_targets();
     forget_removed_hosts();
     update_isolation();
+    update_ready();
     if (!demotions_requested_at_.has_value() || demotions_list_due_) {
         request_demotions();
     }
--- a/packages/proxy/src/engine/session_engine_periodic.cpp
+++ b/packages/proxy/src/engine/session_engine_periodic.cpp
@@ -218,7 +218,7 @@
 }
 
 void session_engine::probe(target_state& target) {
-    target_connection* const connection = pool_.acquire(target, 0, now_);
+    target_connection* const connection = pool_.acquire(target, 0, std::nullopt, now_);
     if (connection == nullptr) {
         if (target.connections() == 0) {
             open_connection(target);
--- a/packages/proxy/src/engine/session_engine_promotion.cpp
+++ b/packages/proxy/src/engine/session_engine_promotion.cpp
@@ -472,7 +472,7 @@
         if (target == nullptr || now_ > inspection.until) {
             continue;
         }
-        target_connection* const connection = pool_.acquire(*target, 0, now_);
+        target_connection* const connection = pool_.acquire(*target, 0, std::nullopt, now_);
         if (connection == nullptr) {
             if (target->opening == 0) {
                 open_connection(*target);
--- a/packages/proxy/src/engine/session_engine_registry.cpp
+++ b/packages/proxy/src/engine/session_engine_registry.cpp
@@ -15,10 +15,18 @@
          {"former", configuration_.has_value() ? std::to_string(configuration_->version) : "none"},
          {"routes", std::to_string(input.configuration.routes.size())}});
     configuration_ = input.configuration;
+    keys_required_ = std::any_of(configuration_->routes.begin(), configuration_->routes.end(),
+                                 [](const auto& entry) { return entry.second->requires_key; });
     min_connections_outdated_ = true;
     update_ready();
 }
 
+void session_engine::on(const configuration_confirmed& input) {
+    configuration_confirmed_at_ =
+        std::max(configuration_confirmed_at_.value_or(input.as_of), input.as_of);
+    update_ready();
+}
+
 void session_engine::on(const targets_listed& input) {
     std::set<core::target_id> listed;
     const std::vector<core::target_id> copied = copied_entries_.on_listed(now_, input.targets);
@@ -233,7 +241,8 @@
 
 void session_engine::update_ready() {
     const bool ready = configuration_.has_value() && targets_known_ &&
-                       !stopping_since_.has_value() && !isolated_since_.has_value();
+                       (!keys_required_ || may_use_keys()) && !stopping_since_.has_value() &&
+                       !isolated_since_.has_value();
     if (ready != ready_) {
         ready_ = ready;
         log(core::log_event::level::info, "ready_changed", {{"ready", ready ? "true" : "false"}});
--- a/packages/proxy/src/engine/session_engine_requests.cpp
+++ b/packages/proxy/src/engine/session_engine_requests.cpp
@@ -42,13 +42,15 @@
 } // namespace internal
 
 void session_engine::start_request(session& caller, const statement& work,
-                                   std::shared_ptr<const route> via) {
+                                   std::shared_ptr<const route> via,
+                                   core::organisation_id organisation) {
     request& started = caller.current.emplace();
     started.work = work;
     started.writes = writes(caller, work);
     started.received = now_;
     started.deadline = now_ + via->statement_timeout;
     started.via = std::move(via);
+    started.organisation = std::move(organisation);
     services_[started.via->service].last_use = now_;
     dispatch_request(caller);
 }
@@ -170,6 +172,12 @@
 void session_engine::dispatch_request(session& caller) {
     request& work = *caller.current;
     work.phase = request_phase::waiting;
+    const identification identity = identify(caller, *work.via);
+    if (!identity) {
+        // The key was withdrawn while the statement waited.
+        refuse(caller, identity.error());
+        return;
+    }
     if (caller.transaction.has_value() && caller.transaction->connection.has_value()) {
         target_connection* const pinned = pool_.find(*caller.transaction->connection);
         if (pinned != nullptr && work.work.kind == statement_kind::commit &&
@@ -300,7 +308,7 @@
         candidate.slots = target->record.slots;
         candidate.same_domain = target->record.domain == settings_.domain;
         candidate.primary = primary == id;
-        candidate.connected = !target->idle.empty();
+        candidate.connected = pool_.has_idle(*target, work.organisation);
         candidate.full = !candidate.connected && !may_open(*target);
         candidate.avoided =
             !usable(*target) || target->record.draining || now_ < target->avoid_until ||
@@ -315,7 +323,8 @@
 }
 
 target_connection* session_engine::acquire_connection(session& caller, target_state& target) {
-    if (target_connection* const idle = pool_.acquire(target, caller.id, now_)) {
+    const core::organisation_id& organisation = caller.current->organisation;
+    if (target_connection* const idle = pool_.acquire(target, caller.id, organisation, now_)) {
         return idle;
     }
     // A waiting request is dispatched again on every event of its service and must not open a
@@ -324,22 +333,43 @@
     const target_connection* const pending = pool_.find(opened);
     if (pending == nullptr || pending->phase != connection_phase::opening ||
         pending->target != target.record.id) {
-        opened = open_connection(target);
+        opened = open_connection(target, organisation);
     }
     return nullptr;
 }
 
 bool session_engine::may_open(const target_state& target) const {
-    return now_ >= target.connect_after && target.connections() < max_connections(limit_of(target));
+    return now_ >= target.connect_after &&
+           (target.connections() < max_connections(limit_of(target)) || !target.idle.empty());
 }
 
-core::connection_id session_engine::open_connection(target_state& target) {
+bool session_engine::close_idle_connection(target_state& target,
+                                           const core::organisation_id& organisation) {
+    const auto replaced =
+        std::find_if(target.idle.begin(), target.idle.end(), [&](core::connection_id id) {
+            return pool_.connections().at(id).organisation != organisation;
+        });
+    if (replaced == target.idle.end()) {
+        return false;
+    }
+    const core::connection_id id = *replaced;
+    out_.emplace_back(close_target{id});
+    pool_.erase(id);
+    return true;
+}
+
+core::connection_id session_engine::open_connection(target_state& target,
+                                                    const core::organisation_id& organisation) {
     if (!may_open(target)) {
         return 0;
     }
+    if (target.connections() >= max_connections(limit_of(target)) &&
+        !close_idle_connection(target, organisation)) {
+        return 0;
+    }
     const core::connection_id id = ids_.next();
-    pool_.open(target, id, now_);
-    out_.emplace_back(open_target{id, target.record.id, target.record.service,
+    pool_.open(target, id, organisation, now_);
+    out_.emplace_back(open_target{id, target.record.id, target.record.service, organisation,
                                   target.record.address, settings_.connect_timeout,
                                   settings_.greeting_timeout});
     return id;
--- a/packages/proxy/src/engine/session_engine_sessions.cpp
+++ b/packages/proxy/src/engine/session_engine_sessions.cpp
@@ -102,7 +102,56 @@
         answer_error(caller, missing_route());
         return;
     }
-    start_request(caller, work, via);
+    const identification identity = identify(caller, *via);
+    if (!identity) {
+        reject_statement(caller, identity.error());
+        return;
+    }
+    start_request(caller, work, via, identity.value());
+}
+
+bool session_engine::may_use_keys() const {
+    return settings_.key_withdrawal.count() == 0 ||
+           (configuration_confirmed_at_.has_value() &&
+            now_ - *configuration_confirmed_at_ <
+                settings_.key_withdrawal - settings_.key_withdrawal_margin);
+}
+
+session_engine::identification session_engine::identify(const session& caller,
+                                                        const route& via) const {
+    const auto holder = configuration_->keys.find(caller.key);
+    const bool known = holder != configuration_->keys.end();
+    if (!via.requires_key) {
+        return known && may_use_keys() ? holder->second : core::organisation_id{};
+    }
+    if (!known) {
+        return statement_error{statement_error_kind::not_authorized, "unknown key", std::nullopt};
+    }
+    if (!may_use_keys()) {
+        return statement_error{statement_error_kind::busy,
+                               "this host cannot tell whether the key is still valid",
+                               settings_.search_interval};
+    }
+    return holder->second;
+}
+
+void session_engine::reject_statement(session& caller, const statement_error& error) {
+    statement_error answered = error;
+    if (caller.transaction.has_value()) {
+        detach_transaction(caller);
+        caller.state = session_state::failed_transaction;
+        if (answered.kind == statement_error_kind::busy) {
+            answered.kind = statement_error_kind::aborted;
+        }
+    }
+    log(core::log_event::level::info, "statement_rejected",
+        {{"session", std::to_string(caller.id)},
+         {"database", caller.database},
+         {"reason", answered.text}});
+    count("lovagemoor_statements_rejected_total", {{"reason", to_string(answered.kind)}});
+    caller.close_when_idle = true;
+    answer_error(caller, answered);
+    resumable_.push_back(caller.id);
 }
 
 bool session_engine::answer_locally(session& caller, const statement& work) {
@@ -213,7 +262,13 @@
         answer_error(caller, missing_route());
         return;
     }
+    const identification identity = identify(caller, *via);
+    if (!identity) {
+        reject_statement(caller, identity.error());
+        return;
+    }
     transaction& begun = caller.transaction.emplace();
+    begun.organisation = identity.value();
     begun.read_only = work.read_only;
     begun.via = via;
     begun.began = now_;
--- a/packages/proxy/src/pool/target_pool.cpp
+++ b/packages/proxy/src/pool/target_pool.cpp
@@ -66,10 +66,12 @@
 }
 
 target_connection& target_pool::open(target_state& target, core::connection_id id,
+                                     const core::organisation_id& organisation,
                                      core::time_point now) {
     target_connection& connection = connections_[id];
     connection.id = id;
     connection.target = target.record.id;
+    connection.organisation = organisation;
     connection.last_used = now;
     ++target.opening;
     return connection;
@@ -86,15 +88,31 @@
     }
 }
 
+bool target_pool::has_idle(const target_state& target,
+                           const core::organisation_id& organisation) const {
+    return std::any_of(target.idle.begin(), target.idle.end(), [&](core::connection_id id) {
+        return connections_.at(id).organisation == organisation;
+    });
+}
+
 target_connection* target_pool::acquire(target_state& target, session_id session,
+                                        const std::optional<core::organisation_id>& organisation,
                                         core::time_point now) {
-    if (target.idle.empty()) {
+    auto chosen = target.idle.end();
+    // The last ones were used most recently.
+    for (auto entry = target.idle.begin(); entry != target.idle.end(); ++entry) {
+        const target_connection& candidate = connections_.at(*entry);
+        if (organisation.has_value() && candidate.organisation != *organisation) {
+            continue;
+        }
+        chosen = entry;
+        if (candidate.user == session) {
+            break;
+        }
+    }
+    if (chosen == target.idle.end()) {
         return nullptr;
     }
-    const auto same_user =
-        std::find_if(target.idle.begin(), target.idle.end(),
-                     [&](core::connection_id id) { return connections_.at(id).user == session; });
-    const auto chosen = same_user == target.idle.end() ? target.idle.end() - 1 : same_user;
     target_connection& connection = connections_.at(*chosen);
     target.idle.erase(chosen);
     connection.phase = connection_phase::in_use;
--- a/packages/settings/include/lovagemoor/settings/session_settings.hpp
+++ b/packages/settings/include/lovagemoor/settings/session_settings.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <filesystem>
 #include <iosfwd>
+#include <map>
 #include <string>
 
 namespace lovagemoor::settings {
@@ -18,6 +19,19 @@
 struct session_settings {
     core::host_id id;
     core::domain_id domain;
+    /// Region in which this host runs; empty if the deployment has a single one.
+    std::string region;
+    /// Region of each failure domain.
+    std::map<core::domain_id, std::string> domain_regions;
+    /// @name Limits of the machine
+    /// @{
+    /// Share of a core.
+    double cpu_share = 1;
+    /// Memory of the process in MB; 0 if it is not limited.
+    std::size_t memory_mb = 0;
+    /// Number of file descriptors; 0 if it is not limited.
+    std::size_t max_descriptors = 0;
+    /// @}
     /// @name Addresses, as ip:port
     /// @{
     std::string caller_listen;
@@ -26,6 +40,8 @@
     /// Empty for no metrics endpoint.
     std::string metrics_listen;
     std::string registry_address;
+    /// Address at which other hosts reach this one; empty if hosts do not exchange messages.
+    std::string link_listen;
     /// Promotion endpoint of the platform; empty if this host does not promote targets.
     std::string promotion_address;
     /// @}
@@ -38,6 +54,17 @@
     std::chrono::milliseconds target_drain{7000};
     /// Time between the request to stop this host and the kill of its process.
     std::chrono::milliseconds stop_grace{6000};
+    /// Time after its withdrawal for which a key may still be used; 0 for no bound.
+    std::chrono::milliseconds key_withdrawal{0};
+    /// @name Quotas of organisations
+    /// @{
+    /// Length of each window in which a quota holds; 0 if quotas are not enforced.
+    std::chrono::milliseconds quota_window{0};
+    /// Fraction by which a quota may be exceeded in a window.
+    double quota_overage = 0;
+    /// Number of operations by which a quota may be exceeded in a window.
+    double quota_slack = 0;
+    /// @}
     core::log_event::level log_level = core::log_event::level::info;
 };
 
--- a/packages/settings/src/session_settings.cpp
+++ b/packages/settings/src/session_settings.cpp
@@ -4,6 +4,7 @@
 #include "value_parser.hpp"
 
 #include <cstdint>
+#include <map>
 #include <utility>
 
 namespace lovagemoor::settings {
@@ -42,8 +43,46 @@
         });
 }
 
+/// @brief Makes a key for a number, which may have a fraction.
+session_key_entry number_key(std::string section, std::string name, double highest,
+                             double session_settings::*field, std::string documentation) {
+    const double initial = session_settings{}.*field;
+    const std::string range = "0 to " + std::to_string(static_cast<std::int64_t>(highest));
+    return text_key<session_settings>(
+        {std::move(section), std::move(name), "number", "", range,
+         std::to_string(static_cast<std::int64_t>(initial)), false, std::move(documentation)},
+        [highest, range](const std::string& text) {
+            return parse_in_range<double>(text, 0, highest, range);
+        },
+        [field](session_settings& settings, double value) { settings.*field = value; });
+}
+
+/// @brief Accepts domain:region pairs, separated by commas.
+result<std::map<core::domain_id, std::string>> parse_domain_regions(const std::string& text) {
+    std::map<core::domain_id, std::string> regions;
+    for (const std::string& pair : split_list(text)) {
+        const std::size_t colon = pair.find(':');
+        if (colon == std::string::npos) {
+            return value_error(settings_error_kind::wrong_type, pair + " is not domain:region");
+        }
+        BOOST_OUTCOME_TRY(domain, parse_name(pair.substr(0, colon)));
+        BOOST_OUTCOME_TRY(region, parse_name(pair.substr(colon + 1)));
+        regions[core::domain_id{domain}] = region;
+    }
+    return regions;
+}
+
 constexpr std::int64_t one_minute_ms = 60'000;
 
+/// @name Highest values of the limits of a machine and of a quota's slack
+/// @{
+constexpr double max_cores = 1024;
+constexpr std::int64_t max_memory_mb = 1'000'000;
+constexpr std::int64_t max_descriptor_count = 10'000'000;
+constexpr double max_quota_slack = 1e6;
+
+/// @}
+
 /// @brief Makes a key for a duration in seconds, which may have a fraction.
 session_key_entry seconds_key(std::string section, std::string name,
                               std::chrono::milliseconds initial,
@@ -78,6 +117,26 @@
                                    [](session_settings& settings, std::string value) {
                                        settings.domain.value = std::move(value);
                                    }),
+        text_key<session_settings>({"host", "region", "name", "", "", "", false,
+                                    "Region in which this host runs; empty for a single one."},
+                                   parse_name,
+                                   [](session_settings& settings, std::string value) {
+                                       settings.region = std::move(value);
+                                   }),
+        text_key<session_settings>(
+            {"host", "domain_regions", "list of domain:region", "", "", "", false,
+             "Region of each failure domain."},
+            parse_domain_regions,
+            [](session_settings& settings, std::map<core::domain_id, std::string> value) {
+                settings.domain_regions = std::move(value);
+            }),
+        number_key("host", "cpu_share", max_cores, &session_settings::cpu_share,
+                   "Share of a core that this host may use."),
+        range_key("host", "memory_mb", "MB", 0, 0, max_memory_mb, &session_settings::memory_mb,
+                  "Memory that this process may use; 0 for no limit."),
+        range_key("host", "max_descriptors", "", 0, 0, max_descriptor_count,
+                  &session_settings::max_descriptors,
+                  "File descriptors that this process may use; 0 for no limit."),
         address_key("host", "caller_listen", true, true, &session_settings::caller_listen,
                     "Address for callers' sessions."),
         address_key("host", "ready_listen", true, true, &session_settings::ready_listen,
@@ -100,6 +159,18 @@
         range_key("targets", "drain_ms", "ms", initial.target_drain.count(), 100, one_minute_ms,
                   &session_settings::target_drain,
                   "Time between the notice that a target is draining and its stop."),
+        address_key("link", "listen", false, true, &session_settings::link_listen,
+                    "Address for other hosts; empty if hosts do not exchange messages."),
+        range_key("organisations", "key_withdrawal_ms", "ms", 0, 0, one_minute_ms,
+                  &session_settings::key_withdrawal,
+                  "Time after its withdrawal for which a key may still be used; 0 for no bound."),
+        seconds_key("organisations", "quota_window_s", std::chrono::milliseconds{0},
+                    &session_settings::quota_window,
+                    "Length of the windows in which quotas hold; without it, there are none."),
+        number_key("organisations", "quota_overage", 1, &session_settings::quota_overage,
+                   "Fraction by which a quota may be exceeded in a window."),
+        number_key("organisations", "quota_slack", max_quota_slack, &session_settings::quota_slack,
+                   "Operations by which a quota may be exceeded in a window."),
         text_key<session_settings>({"log", "level", "debug, info, warning or error", "", "", "info",
                                     false, "Lowest level of events that are logged."},
                                    parse_level,
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -58,6 +58,10 @@
 /// Interval at which the host checks whether a call to the registry is due.
 constexpr std::chrono::milliseconds registry_poll_interval{100};
 
+/// Number of proofs of the configuration in the time within which a withdrawn key must be out of
+/// use. One proof may fail and be repeated in time.
+constexpr int proofs_per_withdrawal = 2;
+
 /// @return The time of a clock that also advances while the machine is suspended, because the age
 /// of a proof of leadership must keep growing then.
 core::time_point now() {
@@ -74,6 +78,7 @@
     result.stop_grace = settings.stop_grace;
     result.draining_use_time = settings.target_drain / 2;
     result.drain_time = settings.target_drain;
+    result.key_withdrawal = settings.key_withdrawal;
     return result;
 }
 
@@ -117,6 +122,10 @@
       signals_{context_, SIGTERM, SIGINT, SIGHUP} {
     registry_client_.set_answer_filter(
         [this](const std::optional<proxy::registry_era>& era) { return accept_answer(era); });
+    if (settings.key_withdrawal.count() > 0) {
+        configuration_proof_.emplace(std::string{platform_adapter::configuration_key},
+                                     settings.key_withdrawal / internal::proofs_per_withdrawal);
+    }
     if (!settings.metrics_listen.empty()) {
         metrics_server_.emplace(context_, settings.metrics_listen,
                                 [this](const gateway::http_server::request& request) {
@@ -254,6 +263,7 @@
         }
     }
     check_watches();
+    prove_configuration();
     registry_timer_.expires_after(internal::registry_poll_interval);
     registry_timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
@@ -262,6 +272,44 @@
     });
 }
 
+void session_host::prove_configuration() {
+    if (!configuration_proof_.has_value()) {
+        return;
+    }
+    const std::optional<proxy::configuration_proof::call> call =
+        configuration_proof_->next_call(internal::now());
+    if (!call.has_value()) {
+        return;
+    }
+    const auto apply = [this, sent_in = registry_eras_.current()](const auto& read_answer) {
+        if (registry_eras_.restored_since(sent_in)) {
+            return;
+        }
+        const proxy::configuration_proof::outcome outcome = read_answer();
+        for (const proxy::item_change& change : outcome.changes) {
+            apply_configuration(change);
+        }
+        if (outcome.as_of.has_value()) {
+            handle(proxy::configuration_confirmed{*outcome.as_of});
+        }
+    };
+    std::visit(
+        core::overloaded{
+            [&](const proxy::list_items& value) {
+                registry_client_.list(value, [this, apply](const proxy::item_page& page) {
+                    apply([&] { return configuration_proof_->on_page(internal::now(), page); });
+                });
+            },
+            [&](const proxy::watch_items& value) {
+                registry_client_.watch(value, [this, apply](const proxy::item_changes& changes) {
+                    apply(
+                        [&] { return configuration_proof_->on_changes(internal::now(), changes); });
+                });
+            },
+        },
+        *call);
+}
+
 bool session_host::accept_answer(const std::optional<proxy::registry_era>& era) {
     const std::optional<proxy::registry_era> previous = registry_eras_.current();
     const proxy::registry_era_tracker::assignment assigned = registry_eras_.assign(era);
@@ -302,6 +350,9 @@
             run_follower(*urgent);
         }
     }
+    if (configuration_proof_.has_value()) {
+        configuration_proof_->on_restored(time);
+    }
     recent_revisions_ = {};
     start_afresh(hosts_follower_, delay);
     start_afresh(promotion_follower_, delay);
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -6,6 +6,7 @@
 #include <lovagemoor/platform_adapter/registry_client.hpp>
 #include <lovagemoor/proxy/engine/session_engine.hpp>
 #include <lovagemoor/proxy/promotion/promotion_lock_claim.hpp>
+#include <lovagemoor/proxy/registry/configuration_proof.hpp>
 #include <lovagemoor/proxy/registry/lease_keeper.hpp>
 #include <lovagemoor/proxy/registry/registry_era_tracker.hpp>
 #include <lovagemoor/proxy/registry/registry_follower.hpp>
@@ -88,6 +89,8 @@
     void finish_lock_claim(const proxy::promotion_lock_answered& result);
     void log_token_out_of_bounds(proxy::registry_revision revision);
     void maintain_registration();
+    /// @brief Makes the next call that proves the configuration, if keys may be withdrawn.
+    void prove_configuration();
     void poll_registry();
     [[nodiscard]] gateway::http_server::response
     answer_request(const gateway::http_server::request& request) const;
@@ -110,6 +113,8 @@
     platform_adapter::registry_client registry_client_;
     std::optional<platform_adapter::promotion_client> promotion_client_;
     std::shared_ptr<proxy::registry_follower> configuration_follower_;
+    /// Empty if the deployment does not bound the use of withdrawn keys.
+    std::optional<proxy::configuration_proof> configuration_proof_;
     std::shared_ptr<proxy::registry_follower> targets_follower_;
     std::shared_ptr<proxy::registry_follower> hosts_follower_;
     /// Null until the engine asks for the demotions.
