--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <lovagemoor/core/ids.hpp>
+#include <lovagemoor/proxy/link/link_peer.hpp>
 #include <lovagemoor/proxy/promotion/promotion_token.hpp>
 #include <lovagemoor/proxy/registry/configuration.hpp>
 #include <lovagemoor/proxy/registry/registry_call.hpp>
@@ -120,6 +121,11 @@
     std::vector<host_record> hosts;
 };
 
+/// @brief The complete list of hosts that this one can reach over the link, itself included.
+struct link_peers_listed {
+    std::vector<link_peer> peers;
+};
+
 /// @}
 
 /// @brief Reports whether the registry can be reached.
@@ -262,7 +268,7 @@
 using event = std::variant<
     session_opened, statement_received, session_closed, session_output_changed, target_connected,
     target_replied, target_disconnected, configuration_changed, configuration_confirmed,
-    targets_listed, target_changed, target_removed, hosts_listed, suspicions_listed,
+    targets_listed, target_changed, target_removed, hosts_listed, link_peers_listed, suspicions_listed,
     suspicion_reported, suspicion_withdrawn, suspicion_publish_failed, suspicion_withdrawal_failed,
     promotion_lock_answered, promotion_lock_taken, promotion_lock_released, promotion_answered,
     demotion_announced, demotions_listed, demotion_publish_answered, demotion_restore_answered,
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -119,6 +119,7 @@
     void on(const target_changed& input);
     void on(const target_removed& input);
     void on(const hosts_listed& input);
+    void on(const link_peers_listed& input);
     void on(const suspicions_listed& input);
     void on(const suspicion_reported& input);
     void on(const suspicion_withdrawn& input);
@@ -400,6 +401,7 @@
     /// Some route requires a key.
     bool keys_required_ = false;
     std::map<core::host_id, host_state> hosts_;
+    std::vector<link_peer> link_peers_;
     /// Incremented whenever the set of live hosts changes.
     std::uint64_t hosts_version_ = 0;
     std::vector<pending_inspection> pending_inspections_;
--- a/packages/proxy/src/engine/session_engine_registry.cpp
+++ b/packages/proxy/src/engine/session_engine_registry.cpp
@@ -217,6 +217,10 @@
     }
 }
 
+void session_engine::on(const link_peers_listed& input) {
+    link_peers_ = input.peers;
+}
+
 void session_engine::update_host(const host_record& record) {
     const auto [known, is_new] = hosts_.try_emplace(record.host, host_state{record.domain, {}});
     if (!is_new && !known->second.removed_at.has_value() && known->second.domain == record.domain) {
