Announce the link of a host in the registry

Hosts list each other's links with the registrations, every second for 6 s after a start and every 8 s then. Only where the settings name an address for the link.

--- a/packages/proxy/include/lovagemoor/proxy/registry/lease_keeper.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/lease_keeper.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace lovagemoor::proxy {
 
@@ -18,13 +19,16 @@
     lease_id lease = 0;
 };
 
-/// @brief Keeps an item in the registry for the lifetime of this process by renewing its lease.
+/// @brief Keeps items in the registry for the lifetime of this process by renewing their lease.
 class lease_keeper {
 public:
     using call = std::variant<grant_lease, renew_lease, write_items>;
 
     lease_keeper(std::string key, std::string value, std::chrono::milliseconds duration);
 
+    /// @brief Keeps a further item. Call it before the first call of next_call().
+    void add_item(std::string key, std::string value);
+
     /// @return The call to make now. Empty while a call is pending or none is due.
     [[nodiscard]] std::optional<call> next_call(core::time_point now);
 
@@ -46,12 +50,17 @@
 private:
     enum class stage : std::uint8_t { no_lease, not_written, kept };
 
+    [[nodiscard]] write_items write_of_items() const;
     /// @brief Completes the pending call. After a failure, schedules the next call.
     /// @return True if the call succeeded.
     [[nodiscard]] bool succeeded(core::time_point now, registry_status status);
 
-    std::string key_;
-    std::string value_;
+    struct kept_item {
+        std::string key;
+        std::string value;
+    };
+
+    std::vector<kept_item> items_;
     std::chrono::milliseconds duration_;
     stage stage_ = stage::no_lease;
     lease_id lease_ = 0;
--- a/packages/proxy/src/registry/lease_keeper.cpp
+++ b/packages/proxy/src/registry/lease_keeper.cpp
@@ -19,7 +19,19 @@
 } // namespace internal
 
 lease_keeper::lease_keeper(std::string key, std::string value, std::chrono::milliseconds duration)
-    : key_{std::move(key)}, value_{std::move(value)}, duration_{duration} {}
+    : items_{{std::move(key), std::move(value)}}, duration_{duration} {}
+
+void lease_keeper::add_item(std::string key, std::string value) {
+    items_.push_back({std::move(key), std::move(value)});
+}
+
+write_items lease_keeper::write_of_items() const {
+    write_items result;
+    for (const kept_item& item : items_) {
+        result.writes.push_back(item_write{item.key, item.value, lease_});
+    }
+    return result;
+}
 
 std::optional<lease_keeper::call> lease_keeper::next_call(core::time_point now) {
     if (under_way_ || now < due_) {
@@ -30,7 +42,7 @@
     case stage::no_lease:
         return grant_lease{duration_};
     case stage::not_written:
-        return write_items{{}, {item_write{key_, value_, lease_}}, {}};
+        return write_of_items();
     case stage::kept:
         break;
     }
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -36,6 +36,11 @@
 /// and majorities.
 constexpr std::chrono::seconds hosts_poll_interval{8};
 
+/// Interval at which the list of hosts is read after a start, so that hosts that start together
+/// know each other's links before traffic begins, and time for which it is.
+constexpr std::chrono::seconds first_hosts_poll_interval{1};
+constexpr std::chrono::seconds first_hosts_polls_time{6};
+
 /// Pauses between watches, so that few calls suffice to learn of targets that start together and of
 /// configurations in quick succession. The last change of a series is in force 1 s later; the
 /// tightest bound of the reference deployments is 3 s.
@@ -113,8 +118,11 @@
           platform_adapter::targets_prefix, {.watch_pause = internal::targets_watch_pause,
                                              .watch_pause_max = internal::watch_pause_max,
                                              .check_interval = internal::watch_check_interval})},
-      hosts_follower_{internal::make_follower(internal::hosts_prefix,
-                                              {.poll_interval = internal::hosts_poll_interval})},
+      hosts_follower_{internal::make_follower(
+          settings.link_listen.empty() ? platform_adapter::hosts_prefix
+                                       : platform_adapter::host_keys_prefix,
+          {.poll_interval = settings.link_listen.empty() ? internal::hosts_poll_interval
+                                                         : internal::first_hosts_poll_interval})},
       registration_{std::string{internal::hosts_prefix} + settings.id.value, settings.domain.value,
                     internal::registration_duration},
       engine_timer_{context_},
@@ -122,6 +130,9 @@
       signals_{context_, SIGTERM, SIGINT, SIGHUP} {
     registry_client_.set_answer_filter(
         [this](const std::optional<proxy::registry_era>& era) { return accept_answer(era); });
+    if (!settings.link_listen.empty()) {
+        open_link();
+    }
     if (settings.key_withdrawal.count() > 0) {
         configuration_proof_.emplace(std::string{platform_adapter::configuration_key},
                                      settings.key_withdrawal / internal::proofs_per_withdrawal);
@@ -138,7 +149,25 @@
     }
 }
 
+void session_host::open_link() {
+    link::link_settings link_settings;
+    link_settings.self = settings_.id;
+    link_settings.listen_address = settings_.link_listen;
+    link_router_.emplace(context_, std::move(link_settings));
+    link_router_->on_ended([this](const std::string& host, link::close_reason reason) {
+        log(core::log_event::level::info, "link_closed",
+            {{"host", host}, {"reason", link::to_string(reason)}});
+        metrics_.perform(core::count_metric{"lovagemoor_link_closed_total",
+                                            {{"reason", link::to_string(reason)}}});
+    });
+    const proxy::link_peer self{settings_.id, settings_.domain, settings_.region,
+                                settings_.cpu_share, settings_.link_listen};
+    registration_.add_item(std::string{platform_adapter::links_prefix} + settings_.id.value,
+                           platform_adapter::encode_link(self));
+}
+
 void session_host::run() {
+    started_at_ = internal::now();
     log(core::log_event::level::info, "started",
         {{"failure_domain", settings_.domain.value},
          {"caller_listen", settings_.caller_listen},
@@ -203,6 +232,9 @@
     }
     targets_.flush();
     callers_.flush();
+    if (link_router_.has_value()) {
+        link_router_->flush();
+    }
 }
 
 void session_host::dispatch(const proxy::action& action) {
@@ -252,6 +284,7 @@
 
 void session_host::poll_registry() {
     update_lock_era();
+    slow_down_hosts_polls();
     maintain_registration();
     run_follower(configuration_follower_);
     run_follower(targets_follower_);
@@ -272,6 +305,16 @@
     });
 }
 
+void session_host::slow_down_hosts_polls() {
+    if (hosts_polls_slowed_ || !link_router_.has_value() ||
+        internal::now() - started_at_ < internal::first_hosts_polls_time) {
+        return;
+    }
+    hosts_polls_slowed_ = true;
+    hosts_follower_ = internal::make_follower(platform_adapter::host_keys_prefix,
+                                              {.poll_interval = internal::hosts_poll_interval});
+}
+
 void session_host::prove_configuration() {
     if (!configuration_proof_.has_value()) {
         return;
@@ -610,8 +653,19 @@
         return;
     }
     proxy::hosts_listed listed;
+    proxy::link_peers_listed links;
     bool registered = false;
     for (const proxy::item_change& change : update.changes) {
+        if (change.item.key.starts_with(platform_adapter::links_prefix)) {
+            const std::optional<proxy::link_peer> peer =
+                platform_adapter::parse_link(change.item.key, change.item.value);
+            if (peer.has_value()) {
+                links.peers.push_back(*peer);
+            } else {
+                log_rejected_item("link_entry_rejected", change.item);
+            }
+            continue;
+        }
         const std::optional<core::host_id> host = platform_adapter::host_of_key(change.item.key);
         if (!host.has_value()) {
             log_rejected_item("host_entry_rejected", change.item);
@@ -624,6 +678,10 @@
         registration_.on_lost(internal::now());
     }
     handle(listed);
+    if (link_router_.has_value()) {
+        link_router_->set_peers(links.peers);
+        handle(links);
+    }
 }
 
 void session_host::apply_demotions(const proxy::registry_follower::update& update) {
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "link_router.hpp"
+
 #include <lovagemoor/gateway/caller_listener.hpp>
 #include <lovagemoor/gateway/http_server.hpp>
 #include <lovagemoor/gateway/target_connections.hpp>
@@ -89,6 +91,9 @@
     void finish_lock_claim(const proxy::promotion_lock_answered& result);
     void log_token_out_of_bounds(proxy::registry_revision revision);
     void maintain_registration();
+    void open_link();
+    /// @brief Reads the list of hosts less often once those that started together are known.
+    void slow_down_hosts_polls();
     /// @brief Makes the next call that proves the configuration, if keys may be withdrawn.
     void prove_configuration();
     void poll_registry();
@@ -112,6 +117,8 @@
     proxy::revision_window recent_revisions_;
     platform_adapter::registry_client registry_client_;
     std::optional<platform_adapter::promotion_client> promotion_client_;
+    /// Empty if hosts do not exchange messages.
+    std::optional<link_router> link_router_;
     std::shared_ptr<proxy::registry_follower> configuration_follower_;
     /// Empty if the deployment does not bound the use of withdrawn keys.
     std::optional<proxy::configuration_proof> configuration_proof_;
@@ -126,6 +133,8 @@
     boost::asio::steady_timer registry_timer_;
     boost::asio::signal_set signals_;
     bool ready_ = false;
+    core::time_point started_at_;
+    bool hosts_polls_slowed_ = false;
     std::optional<core::time_point> stop_requested_at_;
     proxy::promotion_lock_claim lock_claim_;
 };
