--- a/packages/core/include/lovagemoor/core/ids.hpp
+++ b/packages/core/include/lovagemoor/core/ids.hpp
@@ -27,7 +27,6 @@
 using target_id = basic_id<struct target_tag>;
 using group_id = basic_id<struct group_tag>;
 using service_id = basic_id<struct service_tag>;
-using organisation_id = basic_id<struct organisation_tag>;
 
 /// @brief Term of a database group's primary; grows with each promotion.
 using term_number = std::uint64_t;
--- a/packages/proxy/include/lovagemoor/proxy/pool/target_connection.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/pool/target_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <lovagemoor/core/ids.hpp>
+#include <lovagemoor/core/organisation_id.hpp>
 #include <lovagemoor/core/time.hpp>
 #include <lovagemoor/proxy/engine/event.hpp>
 #include <lovagemoor/proxy/pool/prepared_names.hpp>
--- a/packages/proxy/include/lovagemoor/proxy/registry/configuration.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/configuration.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <lovagemoor/core/ids.hpp>
+#include <lovagemoor/core/organisation_id.hpp>
 
 #include <chrono>
 #include <cstdint>
