--- a/packages/gateway/include/lovagemoor/gateway/statement_codec.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/statement_codec.hpp
@@ -19,7 +19,7 @@
 struct startup_message {
     std::string database;
     /// Identifies the caller's organisation. Empty if it was not given.
-    std::string key;
+    std::string key{};
 };
 
 /// @brief Ends the session.
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -29,7 +29,7 @@
     session_id session = 0;
     std::string database;
     /// Identifies the caller's organisation. Must not be logged.
-    std::string key;
+    std::string key{};
 };
 
 struct statement_received {
