Rank the hosts that hold connections to a target

Cause: a target accepts fewer connections than there are hosts, so that hosts open a connection for nearly every statement.

--- /dev/null
+++ b/packages/proxy/src/lending/holder_ranking.cpp
@@ -0,0 +1,93 @@
+#include <lovagemoor/proxy/lending/holder_ranking.hpp>
+
+#include <lovagemoor/core/placement.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <utility>
+
+namespace lovagemoor::proxy {
+
+namespace internal {
+
+namespace {
+
+/// Weight of a host that announces none, or an invalid one.
+constexpr double min_weight = 1e-3;
+
+struct ranked_peer {
+    /// 0 for hosts of the target's failure domain, 1 for those of its region, 2 for others.
+    int distance = 0;
+    double score = 0;
+    const link_peer* peer = nullptr;
+};
+
+/// @return Score by weighted rendezvous hashing: the share of keys for which a host has the highest
+/// one is proportional to its weight.
+double weighted_score(const std::string& key, const link_peer& peer) {
+    constexpr double weights = 18446744073709551616.0; // 2^64
+    const double hashed = static_cast<double>(core::rendezvous_weight(key, peer.host.value));
+    // Strictly between 0 and 1, so that the logarithm is finite and not 0.
+    const double uniform = std::clamp((hashed + 0.5) / weights, 1e-18, 1 - 1e-15);
+    const double weight = peer.weight > min_weight ? peer.weight : min_weight;
+    return -weight / std::log(uniform);
+}
+
+int distance_of(const link_peer& peer, const holder_query& query) {
+    if (peer.domain == query.domain) {
+        return 0;
+    }
+    return peer.region == query.region ? 1 : 2;
+}
+
+} // namespace
+
+} // namespace internal
+
+std::vector<core::host_id> rank_holders(const holder_query& query,
+                                        const std::vector<link_peer>& peers) {
+    std::vector<internal::ranked_peer> ranked;
+    ranked.reserve(peers.size());
+    for (const link_peer& peer : peers) {
+        ranked.push_back({internal::distance_of(peer, query),
+                          internal::weighted_score(query.target.value, peer), &peer});
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const internal::ranked_peer& left, const internal::ranked_peer& right) {
+                  if (left.distance != right.distance) {
+                      return left.distance < right.distance;
+                  }
+                  return left.score != right.score ? left.score > right.score
+                                                   : left.peer->host < right.peer->host;
+              });
+    const std::string key =
+        query.target.value + '\n' +
+        (query.organisation.empty() ? query.borrower.value : query.organisation.value);
+    const std::size_t holders = std::min(holders_per_target, ranked.size());
+    std::sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(holders),
+              [&](const internal::ranked_peer& left, const internal::ranked_peer& right) {
+                  const std::uint64_t left_weight =
+                      core::rendezvous_weight(key, left.peer->host.value);
+                  const std::uint64_t right_weight =
+                      core::rendezvous_weight(key, right.peer->host.value);
+                  return left_weight != right_weight ? left_weight > right_weight
+                                                     : left.peer->host < right.peer->host;
+              });
+    std::vector<core::host_id> order;
+    order.reserve(ranked.size());
+    for (const internal::ranked_peer& entry : ranked) {
+        order.push_back(entry.peer->host);
+    }
+    return order;
+}
+
+bool uses_holders(const holder_activation& activation) noexcept {
+    if (activation.peers == 0) {
+        return false;
+    }
+    return activation.organisations ||
+           (activation.max_connections > 0 && activation.max_connections < activation.hosts);
+}
+
+} // namespace lovagemoor::proxy
