Decide who gets a connection of a holder

Cause: several hosts share the connections of a holder, within a budget that leaves free connections for a restart of all hosts.

--- a/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <lovagemoor/core/ids.hpp>
+#include <lovagemoor/core/organisation_id.hpp>
 #include <lovagemoor/core/telemetry_event.hpp>
 #include <lovagemoor/proxy/engine/event.hpp>
 #include <lovagemoor/proxy/promotion/promotion_token.hpp>
@@ -8,6 +9,7 @@
 #include <lovagemoor/proxy/target/target_command.hpp>
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -56,6 +58,21 @@
     std::chrono::milliseconds connect_timeout{0};
     /// Timeout for the target's greeting, counted from the established connection.
     std::chrono::milliseconds greeting_timeout{0};
+    /// Host from which the connection is borrowed; empty if this host opens one of its own.
+    std::optional<core::host_id> holder;
+    /// @name Only used by a holder
+    /// @{
+    /// The connection of any organisation will do, since no caller's statement will run on it.
+    bool any_organisation = false;
+    /// Connections that the target accepts from all hosts; 0 if unknown.
+    unsigned connection_limit = 0;
+    /// Statements that the target executes at a time.
+    unsigned slots = 1;
+    /// Time for which the request may wait at the holder.
+    std::chrono::milliseconds wait{0};
+    /// 0 is the most urgent.
+    unsigned priority = 0;
+    /// @}
 };
 
 /// @brief Sends commands as one pipelined batch. Each command is answered by one target_replied
@@ -65,10 +82,16 @@
     std::vector<target_command> commands;
 };
 
+/// @brief Closes a connection. A borrowed one is given back to be closed or rolled back.
 struct close_target {
     core::connection_id connection = 0;
 };
 
+/// @brief Gives back a borrowed connection that has no transaction and expects no reply.
+struct return_target {
+    core::connection_id connection = 0;
+};
+
 /// @}
 
 /// @name Promotion
@@ -133,7 +156,7 @@
 
 using action =
     std::variant<accept_session, reject_session, answer_statement, close_session, open_target,
-                 send_commands, close_target, publish_suspicion, withdraw_suspicion,
+                 send_commands, close_target, return_target, publish_suspicion, withdraw_suspicion,
                  follow_promotions, acquire_promotion_lock, publish_demotion, restore_demotion,
                  list_demotions, contact_registry, promote_target, set_ready, stop_process,
                  core::log_event, core::count_metric, core::observe_duration>;
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -55,6 +55,13 @@
     core::connection_id connection = 0;
     /// The target's log position when it accepted the connection.
     std::optional<replication_position> position;
+    /// False if a borrowed connection may hold session values or prepared statements.
+    bool clean = true;
+};
+
+/// @brief The holder of a connection that is being borrowed has received the request.
+struct loan_queued {
+    core::connection_id connection = 0;
 };
 
 struct target_replied {
@@ -76,8 +83,25 @@
     closed,
     /// The reply could not be decoded.
     malformed,
+    /// @name Only for borrowed connections
+    /// @{
+    /// The holder could not be reached, was lost or did not answer.
+    holder_lost,
+    /// The holder stops and lends no more connections.
+    holder_stopping,
+    /// No connection of the holder became free in time.
+    holder_busy,
+    /// @}
 };
 
+/// @return The name used in logs and metrics.
+[[nodiscard]] const char* to_string(target_close_reason reason) noexcept;
+
+/// @return True if the end of a borrowed connection says nothing about the target.
+[[nodiscard]] constexpr bool caused_by_holder(target_close_reason reason) noexcept {
+    return reason >= target_close_reason::holder_lost;
+}
+
 struct target_disconnected {
     core::connection_id connection = 0;
     target_close_reason reason = target_close_reason::closed;
@@ -265,13 +289,15 @@
 /// @brief The time returned by session_engine::next_wakeup() is reached.
 struct timer_expired {};
 
-using event = std::variant<
-    session_opened, statement_received, session_closed, session_output_changed, target_connected,
-    target_replied, target_disconnected, configuration_changed, configuration_confirmed,
-    targets_listed, target_changed, target_removed, hosts_listed, link_peers_listed, suspicions_listed,
-    suspicion_reported, suspicion_withdrawn, suspicion_publish_failed, suspicion_withdrawal_failed,
-    promotion_lock_answered, promotion_lock_taken, promotion_lock_released, promotion_answered,
-    demotion_announced, demotions_listed, demotion_publish_answered, demotion_restore_answered,
-    registry_contacted, registry_reachable, registry_restored, stop_requested, timer_expired>;
+using event =
+    std::variant<session_opened, statement_received, session_closed, session_output_changed,
+                 target_connected, loan_queued, target_replied, target_disconnected,
+                 configuration_changed, configuration_confirmed, targets_listed, target_changed,
+                 target_removed, hosts_listed, link_peers_listed, suspicions_listed,
+                 suspicion_reported, suspicion_withdrawn, suspicion_publish_failed,
+                 suspicion_withdrawal_failed, promotion_lock_answered, promotion_lock_taken,
+                 promotion_lock_released, promotion_answered, demotion_announced, demotions_listed,
+                 demotion_publish_answered, demotion_restore_answered, registry_contacted,
+                 registry_reachable, registry_restored, stop_requested, timer_expired>;
 
 } // namespace lovagemoor::proxy
