Borrow connections in the session engine

Cause: holders can lend connections, but the engine only uses its own. Change: open_target may name a holder. A borrowed connection is given back as soon as no waiting request of its organisation takes it, and is reset before its first statement if values or names may be left on it. Holders that do not answer within 250 ms are avoided; two are tried, then a connection of the host's own, and only the failures of those count against the target. Targets that failed are checked again every 1.1 s while their service is in use, since no connection is kept that would show their return. A target that a holder in another failure domain does not reach either does not count as a sign of isolation.

--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -5,6 +5,8 @@
 #include <lovagemoor/proxy/engine/action.hpp>
 #include <lovagemoor/proxy/engine/event.hpp>
 #include <lovagemoor/proxy/engine/session_engine_settings.hpp>
+#include <lovagemoor/proxy/lending/holder_avoidance.hpp>
+#include <lovagemoor/proxy/lending/holder_ranking.hpp>
 #include <lovagemoor/proxy/overload/wait_queue.hpp>
 #include <lovagemoor/proxy/pool/connection_share.hpp>
 #include <lovagemoor/proxy/pool/target_pool.hpp>
@@ -89,6 +91,16 @@
         std::uint64_t listed_demotion_revision = 0;
     };
 
+    /// @brief For whom and for how long a connection is borrowed.
+    struct loan_terms {
+        core::organisation_id organisation;
+        /// The connection is only used for checks of the target.
+        bool any_organisation = false;
+        /// Time for which the request may wait at the holder.
+        std::chrono::milliseconds wait{0};
+        unsigned priority = 0;
+    };
+
     /// @brief State of another host.
     struct host_state {
         core::domain_id domain;
@@ -111,6 +123,7 @@
     void on(const session_closed& input);
     void on(const session_output_changed& input);
     void on(const target_connected& input);
+    void on(const loan_queued& input);
     void on(const target_replied& input);
     void on(const target_disconnected& input);
     void on(const configuration_changed& input);
@@ -241,7 +254,9 @@
     [[nodiscard]] std::string prepare_on(const session& caller, target_connection& connection,
                                          std::vector<target_command>& commands);
     void send(target_connection& connection, std::vector<target_command> commands, reply_role role);
-    void retry_or_refuse(session& caller, const core::target_id& target, statement_error error);
+    /// @param avoid False if the request may use the target again at once.
+    void retry_or_refuse(session& caller, const core::target_id& target, statement_error error,
+                         bool avoid = true);
     void refuse(session& caller, statement_error error);
     /// @brief Answers the current request, the only way in which it ends. The session's next
     /// statement follows.
@@ -250,6 +265,41 @@
     [[nodiscard]] connection_limit limit_of(const target_state& target) const;
     void update_min_connections();
 
+    // Borrowed connections, session_engine_lending.cpp
+    /// @return True if connections to the target are borrowed from holders.
+    [[nodiscard]] bool through_holders(const target_state& target) const;
+    /// @return The hosts from which a connection can be borrowed, best first.
+    [[nodiscard]] const std::vector<core::host_id>&
+    holders_of(const target_state& target, const core::organisation_id& organisation);
+    /// @param failed Number of holders that have already failed.
+    /// @return Empty if this host is to open a connection of its own.
+    [[nodiscard]] std::optional<core::host_id>
+    next_holder(const target_state& target, const core::organisation_id& organisation,
+                unsigned failed);
+    core::connection_id borrow_connection(target_state& target, const core::host_id& holder,
+                                          const loan_terms& terms);
+    /// @brief Borrows a connection for a request, or opens one.
+    /// @return 0 if neither is possible now.
+    core::connection_id open_or_borrow(const session& caller, target_state& target);
+    /// @brief Borrows or opens a connection for a probe or inspection.
+    void open_check_connection(target_state& target);
+    /// @return True if a connection for the request is already being opened.
+    [[nodiscard]] bool loan_pending(const session& caller, const target_state& target);
+    /// @brief Gives up the connection that is being borrowed for a request.
+    void cancel_loan(const request& work);
+    void on_lent(target_connection& lent, bool clean);
+    /// @brief Gives back a borrowed connection that no waiting request has taken.
+    void return_if_idle(core::connection_id id);
+    /// @return True if the host is known to be in another failure domain than this one.
+    [[nodiscard]] bool is_distant(const core::host_id& host) const;
+    /// @brief Checks targets again that failed, where this host keeps no connection that would show
+    /// their return.
+    void recheck_failed_targets(const core::service_id& id);
+    void on_loan_lost(const target_connection& lost, target_close_reason reason);
+    /// @brief Repeats a check of a target that failed through a holder.
+    void repeat_check(const target_connection& lost);
+    void give_up_slow_holders();
+
     // Replies of targets, session_engine_replies.cpp
     void on_leadership_reply(target_connection& connection, const expected_reply& expected,
                              const statement_result& result);
@@ -275,7 +325,9 @@
     /// this host keeps none.
     void close_if_only_checking(core::connection_id id);
     void drop_connection(core::connection_id id);
-    void on_connection_lost(const target_connection& connection, bool was_open);
+    /// @param target_failed False if the cause lies with the holder of a borrowed connection.
+    void on_connection_lost(const target_connection& connection, bool was_open,
+                            bool target_failed = true);
     void on_target_contact(const core::target_id& target);
     void record_answer(const core::target_id& target, core::time_point sent);
     void on_target_failure(const core::target_id& target, core::time_point since);
@@ -402,6 +454,10 @@
     bool keys_required_ = false;
     std::map<core::host_id, host_state> hosts_;
     std::vector<link_peer> link_peers_;
+    /// Hosts that lend connections, by target and organisation. Derived from link_peers_.
+    std::map<std::pair<core::target_id, core::organisation_id>, std::vector<core::host_id>>
+        ranked_holders_;
+    holder_avoidance avoided_holders_;
     /// Incremented whenever the set of live hosts changes.
     std::uint64_t hosts_version_ = 0;
     std::vector<pending_inspection> pending_inspections_;
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
@@ -4,6 +4,8 @@
 #include <lovagemoor/proxy/pool/prepared_names.hpp>
 
 #include <chrono>
+#include <map>
+#include <string>
 
 namespace lovagemoor::proxy {
 
@@ -121,6 +123,24 @@
     /// new statements. Covers the delay with which hosts learn of the notice (up to 1 s) and a
     /// replacement.
     std::chrono::milliseconds drain_margin{2000};
+    /// Region of each failure domain; empty if the deployment has a single region.
+    std::map<core::domain_id, std::string> domain_regions;
+    /// Time within which a holder must grant a loan or say that the request waits. A holder that is
+    /// slowed down five times answers a ping within 200 ms.
+    std::chrono::milliseconds holder_answer_timeout{250};
+    /// Longest time for which a request waits at a holder. Statements have a deadline of 1,000 ms
+    /// and more in the reference deployments.
+    std::chrono::milliseconds loan_wait{1000};
+    /// Interval at which a target that failed is checked again through a holder. Above the time for
+    /// which a holder that did not reach it is avoided (1 s), so that the holder is asked again.
+    std::chrono::milliseconds recheck_interval{1100};
+    /// Time for which the word of a holder in another failure domain that a target does not answer
+    /// shows that it is the target which is lost, not this host. Covers a recheck and its answer.
+    std::chrono::milliseconds lost_target_retention{1500};
+    /// Pause before a holder is asked again that had no connection free in time.
+    std::chrono::milliseconds loan_retry_pause{100};
+    /// Number of holders that are tried for a request before this host opens a connection itself.
+    unsigned max_failed_loans = 2;
     /// Time for which a host that the registry removed still counts when connections are shared
     /// among hosts. Registrations also disappear when the registry itself fails.
     std::chrono::milliseconds removed_host_retention{30000};
--- a/packages/proxy/include/lovagemoor/proxy/pool/target_connection.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/pool/target_connection.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace lovagemoor::proxy {
@@ -47,6 +48,17 @@
     /// Organisation that the target was told. Statements of no other one may run on the connection.
     core::organisation_id organisation;
     connection_phase phase = connection_phase::opening;
+    /// Host from which the connection is borrowed; empty for a connection of this host's own.
+    std::optional<core::host_id> holder;
+    /// The holder may have lent the connection of any organisation: no caller's statement may run
+    /// on it.
+    bool any_organisation = false;
+    /// The holder has received the request for the connection.
+    bool queued = false;
+    /// Time at which the connection was requested.
+    core::time_point requested;
+    /// Time until which a holder may take to lend the connection.
+    core::time_point lent_by;
     /// Session values that are set at the target.
     std::map<std::string, std::string> values;
     /// False if a rollback may have reverted session values, or the target has dropped them.
--- a/packages/proxy/include/lovagemoor/proxy/pool/target_pool.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/pool/target_pool.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <lovagemoor/core/ids.hpp>
+#include <lovagemoor/core/organisation_id.hpp>
 #include <lovagemoor/core/time.hpp>
 #include <lovagemoor/proxy/pool/target_connection.hpp>
 #include <lovagemoor/proxy/registry/target_record.hpp>
@@ -24,6 +25,20 @@
     /// Number of connections that are kept open even if idle.
     unsigned min_connections = 0;
     unsigned in_use = 0;
+    /// Number of the above that are borrowed.
+    unsigned borrowed = 0;
+    /// Connections to the target are borrowed if possible.
+    bool through_holders = false;
+    /// Earliest time of the next request to a holder.
+    core::time_point borrow_after;
+    /// Number of the borrowed connections that are only used for checks of the target.
+    unsigned checking = 0;
+    /// Last time at which a holder in another failure domain said that the target does not answer.
+    core::time_point lost_at_holder;
+    /// Earliest time at which a target that failed is checked again through a holder.
+    core::time_point recheck_after;
+    /// Number of consecutive checks that failed through a holder.
+    unsigned failed_check_loans = 0;
     /// Time of the last reply or successful connect.
     core::time_point last_contact;
     /// Latest time at which a command was sent that the target answered.
@@ -46,6 +61,9 @@
     [[nodiscard]] unsigned connections() const noexcept {
         return static_cast<unsigned>(idle.size()) + opening + in_use;
     }
+
+    /// @return Number of connections that this host has opened itself.
+    [[nodiscard]] unsigned own_connections() const noexcept { return connections() - borrowed; }
 };
 
 /// @brief Known targets and the connections to them.
@@ -81,6 +99,11 @@
     target_connection& open(target_state& target, core::connection_id id,
                             const core::organisation_id& organisation, core::time_point now);
 
+    /// @brief Registers a connection that is being borrowed.
+    target_connection& borrow(target_state& target, core::connection_id id,
+                              const core::organisation_id& organisation,
+                              const core::host_id& holder, core::time_point now);
+
     /// @brief Marks a connection as open and idle.
     void on_opened(target_connection& connection, core::time_point now);
 
--- a/packages/proxy/include/lovagemoor/proxy/session/session.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/session/session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <lovagemoor/core/ids.hpp>
+#include <lovagemoor/core/organisation_id.hpp>
 #include <lovagemoor/core/time.hpp>
 #include <lovagemoor/proxy/engine/event.hpp>
 #include <lovagemoor/proxy/registry/configuration.hpp>
@@ -75,6 +76,8 @@
     core::connection_id connection = 0;
     /// Connection that was last opened for the request. Other requests may use it first.
     core::connection_id opened = 0;
+    /// Number of connections that could not be borrowed for the request.
+    unsigned failed_loans = 0;
     /// Targets that could not serve the request.
     std::vector<core::target_id> avoided;
     unsigned attempts = 0;
--- a/packages/proxy/src/engine/session_engine.cpp
+++ b/packages/proxy/src/engine/session_engine.cpp
@@ -98,6 +98,9 @@
     for (auto& [service, state] : services_) {
         std::erase(state.waiting, input.session);
     }
+    if (caller.current.has_value()) {
+        cancel_loan(*caller.current);
+    }
     sessions_.erase(found);
 }
 
@@ -119,6 +122,7 @@
     enforce_time_limits();
     close_finished_sessions();
     close_unneeded_connections();
+    give_up_slow_holders();
     update_startup();
     apply_held_entries();
     update_targets();
--- a/packages/proxy/src/engine/session_engine_isolation.cpp
+++ b/packages/proxy/src/engine/session_engine_isolation.cpp
@@ -13,7 +13,10 @@
         }
         if (target.failing_since.has_value() &&
             now_ - *target.failing_since >= settings_.unreachable_after) {
-            ++unreachable;
+            const bool lost_for_others =
+                target.through_holders &&
+                now_ - target.lost_at_holder < settings_.lost_target_retention;
+            unreachable += lost_for_others ? 0 : 1;
         } else if (target.min_connections > 0 ||
                    now_ - target.last_contact < settings_.contact_interval) {
             return false;
--- a/packages/proxy/src/engine/session_engine_periodic.cpp
+++ b/packages/proxy/src/engine/session_engine_periodic.cpp
@@ -83,8 +83,17 @@
         const core::target_id target = connection->target;
         const expected_reply overdue = connection->expected.front();
         const bool probe = overdue.role == reply_role::probe;
+        const bool borrowed = connection->holder.has_value();
         log(core::log_event::level::warning, probe ? "probe_unanswered" : "command_unanswered",
             {{"target", target.value}});
+        if (borrowed) {
+            const target_connection lost = *connection;
+            pool_.erase(id);
+            out_.emplace_back(close_target{id});
+            avoided_holders_.on_target_failed(now_, *lost.holder, target);
+            on_loan_lost(lost, target_close_reason::timed_out);
+            continue;
+        }
         if (probe) {
             on_target_failure(target, overdue.sent);
         }
@@ -106,7 +115,7 @@
         const core::duration longest = target.min_connections > 0
                                            ? settings_.excess_idle_timeout
                                            : settings_.scarce_excess_idle_timeout;
-        std::size_t open = target.connections();
+        std::size_t open = target.own_connections();
         // Idle connections are sorted by their last use.
         for (const core::connection_id connection : target.idle) {
             const core::time_point since = pool_.connections().at(connection).last_used;
@@ -171,6 +180,7 @@
     if (now_ - state.last_use > internal::service_idle_after) {
         return;
     }
+    recheck_failed_targets(id);
     update_lease(id, state);
     target_state* const target = primary_of(state);
     if (target != nullptr) {
@@ -195,7 +205,8 @@
 core::duration session_engine::check_interval_of(const core::service_id& service,
                                                  const target_state& primary) const {
     core::duration interval = settings_.check_interval;
-    if (primary.connections() > 0 || primary.min_connections > 0 || !configuration_.has_value()) {
+    if (primary.own_connections() > 0 || primary.min_connections > 0 ||
+        !configuration_.has_value()) {
         return interval;
     }
     for (const auto& [database, via] : configuration_->routes) {
@@ -220,8 +231,9 @@
 void session_engine::probe(target_state& target) {
     target_connection* const connection = pool_.acquire(target, 0, std::nullopt, now_);
     if (connection == nullptr) {
-        if (target.connections() == 0) {
-            open_connection(target);
+        // Borrowed connections are returned at once, so that others hardly ever find one idle.
+        if (target.through_holders ? target.checking == 0 : target.connections() == 0) {
+            open_check_connection(target);
         }
         return;
     }
--- a/packages/proxy/src/engine/session_engine_promotion.cpp
+++ b/packages/proxy/src/engine/session_engine_promotion.cpp
@@ -474,8 +474,8 @@
         }
         target_connection* const connection = pool_.acquire(*target, 0, std::nullopt, now_);
         if (connection == nullptr) {
-            if (target->opening == 0) {
-                open_connection(*target);
+            if (target->through_holders ? target->checking == 0 : target->opening == 0) {
+                open_check_connection(*target);
             }
             waiting.push_back(inspection);
             continue;
--- a/packages/proxy/src/engine/session_engine_registry.cpp
+++ b/packages/proxy/src/engine/session_engine_registry.cpp
@@ -138,6 +138,9 @@
         }
         departed_targets_.erase(record.id);
     }
+    ranked_holders_.clear();
+    target_state& updated = *pool_.find(record.id);
+    updated.through_holders = through_holders(updated);
     service_state& state = services_[record.service];
     const std::optional<core::target_id> former = state.view.primary();
     state.view.on_claim(record.id, record.claims_primary);
@@ -218,7 +221,12 @@
 }
 
 void session_engine::on(const link_peers_listed& input) {
+    if (link_peers_ == input.peers) {
+        return;
+    }
     link_peers_ = input.peers;
+    ranked_holders_.clear();
+    min_connections_outdated_ = true;
 }
 
 void session_engine::update_host(const host_record& record) {
--- a/packages/proxy/src/engine/session_engine_replies.cpp
+++ b/packages/proxy/src/engine/session_engine_replies.cpp
@@ -36,6 +36,10 @@
     }
 }
 
+} // namespace
+
+} // namespace internal
+
 const char* to_string(target_close_reason reason) noexcept {
     switch (reason) {
     case target_close_reason::refused:
@@ -50,20 +54,26 @@
         return "closed";
     case target_close_reason::malformed:
         return "malformed";
+    case target_close_reason::holder_lost:
+        return "holder_lost";
+    case target_close_reason::holder_stopping:
+        return "holder_stopping";
+    case target_close_reason::holder_busy:
+        return "holder_busy";
     }
     return "closed";
 }
 
-} // namespace
-
-} // namespace internal
-
 void session_engine::on(const target_connected& input) {
     target_connection* const connection = pool_.find(input.connection);
     if (connection == nullptr) {
         out_.emplace_back(close_target{input.connection});
         return;
     }
+    if (connection->holder.has_value()) {
+        on_lent(*connection, input.clean);
+        return;
+    }
     pool_.on_opened(*connection, now_);
     on_target_contact(connection->target);
     if (target_state* const target = pool_.find(connection->target)) {
@@ -92,6 +102,9 @@
     }
     const expected_reply expected = connection->expected.front();
     connection->expected.pop_front();
+    if (connection->holder.has_value()) {
+        avoided_holders_.on_answered(now_, *connection->holder);
+    }
     on_target_contact(connection->target);
     record_answer(connection->target, expected.sent);
     const statement_result& result = input.reply.result;
@@ -227,10 +240,12 @@
             return;
         }
     }
+    const core::connection_id id = connection.id;
     pool_.release(connection, now_);
     if (const target_state* const target = pool_.find(connection.target)) {
-        dispatch_waiting(target->record.service);
+        dispatch_waiting(core::service_id{target->record.service});
     }
+    return_if_idle(id);
 }
 
 void session_engine::on_leadership_reply(target_connection& connection,
@@ -423,11 +438,15 @@
     }
     const target_connection lost = *found;
     pool_.erase(input.connection);
+    if (lost.holder.has_value()) {
+        on_loan_lost(lost, input.reason);
+        return;
+    }
     target_state* const target = pool_.find(lost.target);
     const bool was_open = lost.phase != connection_phase::opening;
     log(core::log_event::level::info, "target_disconnected",
         {{"target", lost.target.value},
-         {"reason", internal::to_string(input.reason)},
+         {"reason", to_string(input.reason)},
          {"was_open", was_open ? "true" : "false"}});
     if (target != nullptr && !was_open) {
         const bool full = input.reason == target_close_reason::connection_limit;
@@ -462,7 +481,8 @@
     on_connection_lost(lost, true);
 }
 
-void session_engine::on_connection_lost(const target_connection& connection, bool was_open) {
+void session_engine::on_connection_lost(const target_connection& connection, bool was_open,
+                                        bool target_failed) {
     const auto user = sessions_.find(connection.user);
     if (!was_open || user == sessions_.end()) {
         if (const target_state* const target = pool_.find(connection.target)) {
@@ -499,7 +519,8 @@
         return;
     }
     retry_or_refuse(caller, connection.target,
-                    {statement_error_kind::busy, "connection to the target lost", std::nullopt});
+                    {statement_error_kind::busy, "connection to the target lost", std::nullopt},
+                    target_failed);
 }
 
 void session_engine::on_target_contact(const core::target_id& id) {
--- a/packages/proxy/src/engine/session_engine_requests.cpp
+++ b/packages/proxy/src/engine/session_engine_requests.cpp
@@ -164,7 +164,9 @@
         }
         priority.rank = connection_rank(settings_.host, id);
         priority.starting = starting_;
-        target.min_connections = min_connections(limit_of(target), priority);
+        target.through_holders = through_holders(target);
+        target.min_connections =
+            target.through_holders ? 0 : min_connections(limit_of(target), priority);
     }
     min_connections_outdated_ = false;
 }
@@ -298,7 +300,9 @@
 std::optional<core::target_id> session_engine::choose_replica(session& caller) {
     const request& work = *caller.current;
     const std::optional<core::target_id>& primary = services_[work.via->service].view.primary();
+    const target_connection* const lent = pool_.find(work.opened);
     std::vector<read_candidate> candidates;
+    bool some_idle = false;
     for (const target_state* const target : pool_.of_service(work.via->service)) {
         const core::target_id& id = target->record.id;
         read_candidate candidate;
@@ -309,45 +313,55 @@
         candidate.same_domain = target->record.domain == settings_.domain;
         candidate.primary = primary == id;
         candidate.connected = pool_.has_idle(*target, work.organisation);
-        candidate.full = !candidate.connected && !may_open(*target);
+        candidate.full = !candidate.connected && !target->through_holders && !may_open(*target);
         candidate.avoided =
             !usable(*target) || target->record.draining || now_ < target->avoid_until ||
             target->failing_since.has_value() ||
             (!candidate.primary && now_ < target->lagging_until) ||
             std::find(work.avoided.begin(), work.avoided.end(), id) != work.avoided.end();
+        if (lent != nullptr && lent->holder.has_value() && lent->phase == connection_phase::idle &&
+            lent->target == id && candidate.connected && !candidate.avoided) {
+            // It was borrowed for this request.
+            return id;
+        }
+        some_idle = some_idle || (candidate.connected && !candidate.avoided);
         candidates.push_back(std::move(candidate));
     }
+    if (!some_idle) {
+        for (read_candidate& candidate : candidates) {
+            candidate.connected = pool_.find(candidate.target)->through_holders;
+        }
+    }
     const std::optional<std::size_t> chosen = choose_read_target(candidates);
     return chosen.has_value() ? std::optional<core::target_id>{candidates[*chosen].target}
                               : std::nullopt;
 }
 
 target_connection* session_engine::acquire_connection(session& caller, target_state& target) {
-    const core::organisation_id& organisation = caller.current->organisation;
-    if (target_connection* const idle = pool_.acquire(target, caller.id, organisation, now_)) {
+    request& work = *caller.current;
+    if (target_connection* const idle = pool_.acquire(target, caller.id, work.organisation, now_)) {
         return idle;
     }
     // A waiting request is dispatched again on every event of its service and must not open a
     // further connection each time.
-    core::connection_id& opened = caller.current->opened;
-    const target_connection* const pending = pool_.find(opened);
-    if (pending == nullptr || pending->phase != connection_phase::opening ||
-        pending->target != target.record.id) {
-        opened = open_connection(target, organisation);
+    if (!loan_pending(caller, target)) {
+        cancel_loan(work);
+        work.opened = open_or_borrow(caller, target);
     }
     return nullptr;
 }
 
 bool session_engine::may_open(const target_state& target) const {
     return now_ >= target.connect_after &&
-           (target.connections() < max_connections(limit_of(target)) || !target.idle.empty());
+           (target.own_connections() < max_connections(limit_of(target)) || !target.idle.empty());
 }
 
 bool session_engine::close_idle_connection(target_state& target,
                                            const core::organisation_id& organisation) {
     const auto replaced =
         std::find_if(target.idle.begin(), target.idle.end(), [&](core::connection_id id) {
-            return pool_.connections().at(id).organisation != organisation;
+            const target_connection& candidate = pool_.connections().at(id);
+            return candidate.organisation != organisation && !candidate.holder.has_value();
         });
     if (replaced == target.idle.end()) {
         return false;
@@ -363,15 +377,21 @@
     if (!may_open(target)) {
         return 0;
     }
-    if (target.connections() >= max_connections(limit_of(target)) &&
+    if (target.own_connections() >= max_connections(limit_of(target)) &&
         !close_idle_connection(target, organisation)) {
         return 0;
     }
     const core::connection_id id = ids_.next();
     pool_.open(target, id, organisation, now_);
-    out_.emplace_back(open_target{id, target.record.id, target.record.service, organisation,
-                                  target.record.address, settings_.connect_timeout,
-                                  settings_.greeting_timeout});
+    open_target request;
+    request.connection = id;
+    request.target = target.record.id;
+    request.service = target.record.service;
+    request.organisation = organisation;
+    request.address = target.record.address;
+    request.connect_timeout = settings_.connect_timeout;
+    request.greeting_timeout = settings_.greeting_timeout;
+    out_.emplace_back(std::move(request));
     return id;
 }
 
@@ -596,12 +616,14 @@
 }
 
 void session_engine::retry_or_refuse(session& caller, const core::target_id& target,
-                                     statement_error error) {
+                                     statement_error error, bool avoid) {
     request& work = *caller.current;
     work.connection = 0;
     log_request("statement_retried", caller,
                 std::string{to_string(error.kind)} + " at " + target.value);
-    work.avoided.push_back(target);
+    if (avoid) {
+        work.avoided.push_back(target);
+    }
     if (work.attempts >= settings_.max_attempts) {
         refuse(caller, std::move(error));
         return;
@@ -624,6 +646,7 @@
 }
 
 void session_engine::end_request(session& caller, statement_result result) {
+    cancel_loan(*caller.current);
     caller.current.reset();
     resumable_.push_back(caller.id);
     answer(caller, std::move(result));
--- a/packages/proxy/src/pool/target_pool.cpp
+++ b/packages/proxy/src/pool/target_pool.cpp
@@ -72,11 +72,21 @@
     connection.id = id;
     connection.target = target.record.id;
     connection.organisation = organisation;
+    connection.requested = now;
     connection.last_used = now;
     ++target.opening;
     return connection;
 }
 
+target_connection& target_pool::borrow(target_state& target, core::connection_id id,
+                                       const core::organisation_id& organisation,
+                                       const core::host_id& holder, core::time_point now) {
+    target_connection& connection = open(target, id, organisation, now);
+    connection.holder = holder;
+    ++target.borrowed;
+    return connection;
+}
+
 void target_pool::on_opened(target_connection& connection, core::time_point now) {
     detach(connection);
     connection.phase = connection_phase::idle;
@@ -91,7 +101,8 @@
 bool target_pool::has_idle(const target_state& target,
                            const core::organisation_id& organisation) const {
     return std::any_of(target.idle.begin(), target.idle.end(), [&](core::connection_id id) {
-        return connections_.at(id).organisation == organisation;
+        const target_connection& candidate = connections_.at(id);
+        return candidate.organisation == organisation && !candidate.any_organisation;
     });
 }
 
@@ -102,7 +113,8 @@
     // The last ones were used most recently.
     for (auto entry = target.idle.begin(); entry != target.idle.end(); ++entry) {
         const target_connection& candidate = connections_.at(*entry);
-        if (organisation.has_value() && candidate.organisation != *organisation) {
+        if (organisation.has_value() &&
+            (candidate.organisation != *organisation || candidate.any_organisation)) {
             continue;
         }
         chosen = entry;
@@ -132,6 +144,11 @@
     const auto found = connections_.find(connection);
     if (found != connections_.end()) {
         detach(found->second);
+        target_state* const target = find(found->second.target);
+        if (target != nullptr && found->second.holder.has_value()) {
+            --target->borrowed;
+            target->checking -= found->second.any_organisation ? 1 : 0;
+        }
         connections_.erase(found);
     }
 }
--- a/packages/proxy/test/engine/fake_cluster.hpp
+++ b/packages/proxy/test/engine/fake_cluster.hpp
@@ -2,6 +2,7 @@
 
 #include <lovagemoor/core/overloaded.hpp>
 #include <lovagemoor/proxy/engine/session_engine.hpp>
+#include <lovagemoor/proxy/lending/connection_lender.hpp>
 
 #include <algorithm>
 #include <cstdint>
@@ -44,6 +45,8 @@
         core::duration connect_time{0};
         /// The target refuses connections because of its connection limit.
         bool full = false;
+        /// Holders cannot reach the target.
+        bool refuses_holders = false;
         /// The target refuses statements because all slots are in use.
         bool busy = false;
         /// Number of further statements that run but whose answers are lost.
@@ -54,6 +57,22 @@
         std::optional<command_kind> lost_kind;
     };
 
+    /// @brief Another host that lends connections to the engine's host.
+    struct holder {
+        connection_lender lender;
+        /// Keeps the ids of its connections apart from those of other holders.
+        core::connection_id id_offset = 0;
+        bool dead = false;
+        bool frozen = false;
+        /// Time that it takes for each message, in addition to the network delay.
+        core::duration slowness{0};
+        /// Messages that arrived while it was frozen.
+        std::vector<lending_event> inbox;
+        std::uint64_t channel = 1;
+        core::time_point last_delivery;
+        core::time_point last_answer;
+    };
+
     struct received_answer {
         core::time_point at;
         statement_result result;
@@ -112,6 +131,10 @@
         if (own_service != "s") {
             config.services[core::service_id{own_service}] = {30, 0};
         }
+        for (const std::string& name : organisations) {
+            config.organisations[core::organisation_id{name}] = {core::organisation_id{name}, 0, 0};
+            config.keys["key of " + name] = core::organisation_id{name};
+        }
         apply(configuration_changed{config});
     }
 
@@ -180,13 +203,69 @@
         return records;
     }
 
-    session_id open(const std::string& database) {
+    /// @param organisation Organisation of the caller; empty for a caller without a key.
+    session_id open(const std::string& database, const std::string& organisation = {}) {
         const session_id id = ++last_session_;
         session_databases_[id] = database;
-        apply(session_opened{id, database});
+        session_organisations_[id] = organisation;
+        apply(session_opened{id, database, organisation.empty() ? "" : "key of " + organisation});
         return id;
     }
 
+    /// @brief Two holders in each of the failure domains a, b and c start to lend connections.
+    void start_holders() {
+        link_peers_listed listed;
+        for (const char* const name : {"a1", "a2", "b1", "b2", "c1", "c2"}) {
+            const core::host_id id{name};
+            holder& added = holders[id];
+            added.id_offset = core::connection_id{holders.size()} << 32U;
+            listed.peers.push_back({id, core::domain_id{std::string(1, *name)}, "", 1.0,
+                                    "10.0.1." + std::to_string(holders.size()) + ":1"});
+            tick(id);
+        }
+        link_peers = listed.peers;
+        apply(listed);
+    }
+
+    /// @brief A holder's process ends, and with it its connections.
+    void kill_holder(const core::host_id& id) {
+        holder& killed = holders.at(id);
+        killed.dead = true;
+        std::erase_if(connections_, [&](const auto& entry) {
+            return (entry.first & connection_lender::id_flag) != 0 && holder_of(entry.first) == id;
+        });
+        after(delay(), [this, id] { lose_channel(id); });
+    }
+
+    /// @brief A holder does nothing until thaw_holder(). Its borrower closes the channel after the
+    /// time for which the link accepts silence.
+    void freeze_holder(const core::host_id& id) {
+        holder& frozen = holders.at(id);
+        frozen.frozen = true;
+        after(1s, [this, id, channel = frozen.channel] {
+            holder& silent = holders.at(id);
+            if (silent.frozen && silent.channel == channel) {
+                lose_channel(id);
+            }
+        });
+    }
+
+    void thaw_holder(const core::host_id& id) {
+        holder& thawed = holders.at(id);
+        thawed.frozen = false;
+        for (const lending_event& missed : std::exchange(thawed.inbox, {})) {
+            handle_at(id, missed);
+        }
+    }
+
+    /// @brief Passes an event to a holder after the network delay.
+    void tell_holder(const core::host_id& id, const lending_event& input) {
+        holder& told = holders.at(id);
+        told.last_delivery = std::max(told.last_delivery, now_ + delay() + told.slowness);
+        scheduled_.push(
+            {told.last_delivery, ++order_, [this, id, input] { handle_at(id, input); }});
+    }
+
     /// @brief Sends a statement of a session.
     /// @return Id of the statement.
     std::string send(session_id id, statement_kind kind, const std::string& name = {},
@@ -347,6 +426,9 @@
     }
 
     void apply(const event& input) {
+        if (pass_to_holder(input)) {
+            return;
+        }
         for (const action& wanted : engine_.handle(now_, input)) {
             perform(wanted);
         }
@@ -393,6 +475,13 @@
 
     std::mt19937& random() noexcept { return random_; }
 
+    /// Number of connections that all hosts have requested to open to a target.
+    [[nodiscard]] std::size_t opened_by_holders() const noexcept { return opened_by_holders_; }
+
+    std::map<core::host_id, holder> holders;
+    std::vector<link_peer> link_peers;
+    /// Organisations of the next configuration.
+    std::vector<std::string> organisations;
     std::map<core::target_id, target> targets;
     /// Targets whose entries the registry has removed.
     std::set<core::target_id> unlisted;
@@ -416,6 +505,7 @@
 
     struct target_session {
         core::target_id target;
+        core::organisation_id organisation;
         std::map<std::string, std::string> values;
         std::set<std::string> prepared;
         /// Session of the open transaction, 0 if the engine began it. Empty outside of
@@ -467,9 +557,30 @@
     void perform(const action& wanted) {
         performed_.push_back(wanted);
         std::visit(core::overloaded{
-                       [this](const open_target& value) { open_connection(value); },
-                       [this](const send_commands& value) { deliver(value); },
-                       [this](const close_target& value) { close_connection(value.connection); },
+                       [this](const open_target& value) {
+                           if (value.holder.has_value()) {
+                               borrow(value);
+                           } else {
+                               open_connection(value);
+                           }
+                       },
+                       [this](const send_commands& value) {
+                           if (loans_.contains(value.connection)) {
+                               tell_holder(loans_.at(value.connection).holder,
+                                           loan_commands_received{loan_of(value.connection),
+                                                                  value.commands, 1000ms});
+                           } else {
+                               deliver(value);
+                           }
+                       },
+                       [this](const close_target& value) {
+                           if (loans_.contains(value.connection)) {
+                               give_back(value.connection, loans_.at(value.connection).granted);
+                           } else {
+                               close_connection(value.connection);
+                           }
+                       },
+                       [this](const return_target& value) { give_back(value.connection, false); },
                        [this](const answer_statement& value) { record_answer(value); },
                        [this](const close_session& value) { end_session(value.session); },
                        [this](const list_demotions& /*value*/) { answer_demotions(); },
@@ -491,6 +602,183 @@
                    wanted);
     }
 
+    /// @brief A connection that the engine borrows.
+    struct borrowed_connection {
+        core::host_id holder;
+        std::uint64_t channel = 0;
+        bool granted = false;
+    };
+
+    [[nodiscard]] loan_id loan_of(core::connection_id id) const {
+        return {loans_.at(id).channel, id};
+    }
+
+    void borrow(const open_target& request) {
+        const auto found = holders.find(*request.holder);
+        if (found == holders.end() || found->second.dead) {
+            after(delay(), [this, id = request.connection] {
+                apply(target_disconnected{id, target_close_reason::holder_lost});
+            });
+            return;
+        }
+        loans_[request.connection] = {found->first, found->second.channel, false};
+        tell_holder(found->first,
+                    loan_requested{loan_of(request.connection), request.target, request.service,
+                                   request.address, request.organisation, request.any_organisation,
+                                   request.connection_limit, request.slots, request.wait,
+                                   request.priority});
+    }
+
+    void give_back(core::connection_id id, bool broken) {
+        const auto found = loans_.find(id);
+        if (found != loans_.end()) {
+            const loan_id returned = loan_of(id);
+            const core::host_id holder_name = found->second.holder;
+            loans_.erase(found);
+            tell_holder(holder_name, loan_returned{returned, broken});
+        }
+    }
+
+    /// @brief The borrower and, unless it is dead, the holder learn that their channel is lost.
+    void lose_channel(const core::host_id& id) {
+        holder& lost = holders.at(id);
+        const std::uint64_t channel = lost.channel++;
+        tell_holder(id, borrower_lost{channel});
+        std::vector<core::connection_id> ended;
+        for (const auto& [number, known] : loans_) {
+            if (known.holder == id && known.channel == channel) {
+                ended.push_back(number);
+            }
+        }
+        for (const core::connection_id number : ended) {
+            loans_.erase(number);
+        }
+        for (const core::connection_id number : ended) {
+            apply(target_disconnected{number, target_close_reason::holder_lost});
+        }
+    }
+
+    void tick(const core::host_id& id) {
+        after(25ms, [this, id] {
+            handle_at(id, timer_expired{});
+            tick(id);
+        });
+    }
+
+    [[nodiscard]] core::host_id holder_of(core::connection_id id) const {
+        for (const auto& [name, known] : holders) {
+            if (known.id_offset == (id & ~connection_lender::id_flag) >> 32U << 32U) {
+                return name;
+            }
+        }
+        return {};
+    }
+
+    /// @return True if the event concerns a connection of a holder.
+    bool pass_to_holder(const event& input) {
+        const auto pass = [this](auto specific) {
+            if ((specific.connection & connection_lender::id_flag) == 0) {
+                return false;
+            }
+            const core::host_id id = holder_of(specific.connection);
+            specific.connection -= holders.at(id).id_offset;
+            handle_at(id, specific);
+            return true;
+        };
+        return std::visit(core::overloaded{
+                              [&](const target_connected& value) { return pass(value); },
+                              [&](const target_replied& value) { return pass(value); },
+                              [&](const target_disconnected& value) { return pass(value); },
+                              [](const auto& /*other*/) { return false; },
+                          },
+                          input);
+    }
+
+    void handle_at(const core::host_id& id, const lending_event& input) {
+        holder& at = holders.at(id);
+        if (at.dead) {
+            return;
+        }
+        if (at.frozen) {
+            at.inbox.push_back(input);
+            return;
+        }
+        for (const lending_action& wanted : at.lender.handle(now_, input)) {
+            std::visit(core::overloaded{
+                           [&](const queue_loan& value) {
+                               answer_borrower(id, value.loan, loan_queued{value.loan.number});
+                           },
+                           [&](const grant_loan& value) {
+                               answer_borrower(id, value.loan,
+                                               target_connected{value.loan.number, value.position,
+                                                                value.clean});
+                           },
+                           [&](const relay_reply& value) {
+                               answer_borrower(id, value.loan,
+                                               target_replied{value.loan.number, value.reply});
+                           },
+                           [&](const end_loan& value) {
+                               answer_borrower(
+                                   id, value.loan,
+                                   target_disconnected{value.loan.number, reason_of(value.reason)});
+                           },
+                           [&](open_target value) {
+                               ++opened_by_holders_;
+                               value.connection += at.id_offset;
+                               open_connection(value);
+                           },
+                           [&](send_commands value) {
+                               value.connection += at.id_offset;
+                               deliver(value);
+                           },
+                           [&](const close_target& value) {
+                               close_connection(value.connection + at.id_offset);
+                           },
+                           [](const auto& /*telemetry*/) {},
+                       },
+                       wanted);
+        }
+    }
+
+    static target_close_reason reason_of(loan_end reason) {
+        switch (reason) {
+        case loan_end::busy:
+            return target_close_reason::holder_busy;
+        case loan_end::stopping:
+            return target_close_reason::holder_stopping;
+        case loan_end::target_refused:
+            return target_close_reason::refused;
+        case loan_end::target_timed_out:
+            return target_close_reason::timed_out;
+        case loan_end::connection_limit:
+            return target_close_reason::connection_limit;
+        case loan_end::wrong_target:
+            return target_close_reason::wrong_target;
+        case loan_end::malformed:
+            return target_close_reason::malformed;
+        default:
+            return target_close_reason::closed;
+        }
+    }
+
+    void answer_borrower(const core::host_id& id, const loan_id& loan, const event& answer) {
+        holder& at = holders.at(id);
+        at.last_answer = std::max(at.last_answer, now_ + delay() + at.slowness);
+        scheduled_.push({at.last_answer, ++order_, [this, loan, answer] {
+                             const auto found = loans_.find(loan.number);
+                             if (found == loans_.end() || found->second.channel != loan.borrower) {
+                                 return;
+                             }
+                             if (std::holds_alternative<target_connected>(answer)) {
+                                 found->second.granted = true;
+                             }
+                             if (std::holds_alternative<target_disconnected>(answer)) {
+                                 loans_.erase(found);
+                             }
+                             apply(answer);
+                         }});
+    }
+
     /// @brief Tells the host of a return that it has not heard of, with the lists of the new era.
     void hear_registry() {
         if (!registry_available || !returned_copy_.has_value()) {
@@ -525,7 +813,9 @@
     void open_connection(const open_target& request) {
         after(delay(), [this, request] {
             const auto found = targets.find(request.target);
-            if (found == targets.end() || found->second.crashed) {
+            const bool by_holder = (request.connection & connection_lender::id_flag) != 0;
+            if (found == targets.end() || found->second.crashed ||
+                (by_holder && found->second.refuses_holders)) {
                 apply(target_disconnected{request.connection, target_close_reason::refused});
             } else if (found->second.full) {
                 apply(
@@ -541,7 +831,9 @@
     }
 
     void accept_connection(const open_target& request) {
-        connections_[request.connection].target = request.target;
+        target_session& opened = connections_[request.connection];
+        opened.target = request.target;
+        opened.organisation = request.organisation;
         apply(target_connected{request.connection, position_of(targets.at(request.target))});
     }
 
@@ -738,6 +1030,12 @@
         if (sent.in_transaction != connection.transaction.has_value()) {
             violations_.push_back("statement outside of its transaction: " + command.id);
         }
+        const auto organisation = session_organisations_.find(sent.session);
+        if (organisation != session_organisations_.end() &&
+            connection.organisation.value != organisation->second) {
+            violations_.push_back("statement on a connection of another organisation: " +
+                                  command.id);
+        }
         if (connection.values != sent.values) {
             violations_.push_back("statement with other session values: " + command.id);
         }
@@ -856,6 +1154,9 @@
     std::map<core::connection_id, target_session> connections_;
     std::map<core::connection_id, core::time_point> last_delivery_;
     std::map<core::connection_id, core::time_point> last_reply_;
+    std::map<core::connection_id, borrowed_connection> loans_;
+    std::size_t opened_by_holders_ = 0;
+    std::map<session_id, std::string> session_organisations_;
     session_id last_session_ = 0;
     std::uint64_t last_statement_ = 0;
     std::map<session_id, std::string> session_databases_;
