Lend connections to other hosts over the link

Cause: engine and lender decide on loans, but nothing carries them. Change: connection_lending translates between frames and the events and actions of the engine and of the lender. A stopping host refuses new loans and waits for open ones within its grace period.

--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -84,6 +84,7 @@
     result.draining_use_time = settings.target_drain / 2;
     result.drain_time = settings.target_drain;
     result.key_withdrawal = settings.key_withdrawal;
+    result.domain_regions = settings.domain_regions;
     return result;
 }
 
@@ -105,7 +106,13 @@
                platform_adapter::make_statement_codec(),
                [this](const proxy::event& input) { handle(input); }},
       targets_{context_, settings.id.value, platform_adapter::make_statement_codec(),
-               [this](const proxy::event& input) { handle(input); }},
+               [this](const proxy::event& input) {
+                   if (lending_.has_value() && connection_lending::concerns_lender(input)) {
+                       lending_->on_target_event(input);
+                   } else {
+                       handle(input);
+                   }
+               }},
       ready_server_{
           context_, settings.ready_listen,
           [this](const gateway::http_server::request& request) { return answer_request(request); }},
@@ -160,6 +167,10 @@
         metrics_.perform(core::count_metric{"lovagemoor_link_closed_total",
                                             {{"reason", link::to_string(reason)}}});
     });
+    lending_.emplace(
+        context_, settings_.id, *link_router_, targets_,
+        [this](const proxy::event& input) { handle(input); },
+        [this](const proxy::action& action) { dispatch(action); });
     const proxy::link_peer self{settings_.id, settings_.domain, settings_.region,
                                 settings_.cpu_share, settings_.link_listen};
     registration_.add_item(std::string{platform_adapter::links_prefix} + settings_.id.value,
@@ -189,6 +200,9 @@
         } else {
             if (!stop_requested_at_.has_value()) {
                 stop_requested_at_ = internal::now();
+                if (lending_.has_value()) {
+                    lending_->stop();
+                }
             }
             handle(proxy::stop_requested{});
         }
@@ -221,6 +235,9 @@
     engine_timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
             handle(proxy::timer_expired{});
+            if (lending_.has_value()) {
+                lending_->on_timer();
+            }
             schedule_timer();
         }
     });
@@ -243,9 +260,20 @@
                    [this](const proxy::reject_session& value) { callers_.perform(value); },
                    [this](const proxy::answer_statement& value) { callers_.perform(value); },
                    [this](const proxy::close_session& value) { callers_.perform(value); },
-                   [this](const proxy::open_target& value) { targets_.perform(value); },
-                   [this](const proxy::send_commands& value) { targets_.perform(value); },
-                   [this](const proxy::close_target& value) { targets_.perform(value); },
+                   [this](const proxy::open_target& value) {
+                       if (lending_.has_value() && value.holder.has_value()) {
+                           lending_->perform(value);
+                       } else {
+                           targets_.perform(value);
+                       }
+                   },
+                   [this](const proxy::send_commands& value) { perform_at_target(value); },
+                   [this](const proxy::close_target& value) { perform_at_target(value); },
+                   [this](const proxy::return_target& value) {
+                       if (lending_.has_value()) {
+                           lending_->perform(value);
+                       }
+                   },
                    [this](const proxy::set_ready& value) { ready_ = value.ready; },
                    [this](const proxy::stop_process& /*value*/) { stop_when_sent(); },
                    [this](const core::log_event& value) { logger_.perform(value); },
@@ -261,7 +289,9 @@
     const bool in_time =
         stop_requested_at_.has_value() &&
         internal::now() - *stop_requested_at_ < settings_.stop_grace - internal::stop_margin;
-    if (!in_time || !callers_.closing()) {
+    // Other hosts may still use connections of this one.
+    const bool lends = lending_.has_value() && lending_->lends();
+    if (!in_time || (!callers_.closing() && !lends)) {
         context_.stop();
     }
 }
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection_lending.hpp"
 #include "link_router.hpp"
 
 #include <lovagemoor/gateway/caller_listener.hpp>
@@ -53,6 +54,17 @@
     void perform(const proxy::publish_suspicion& action);
     void perform(const proxy::withdraw_suspicion& action);
     void dispatch(const proxy::action& action);
+
+    /// @brief Performs an action on a connection that is borrowed or of this host's own.
+    template <typename Action>
+    void perform_at_target(const Action& action) {
+        if (lending_.has_value() && lending_->borrowed(action.connection)) {
+            lending_->perform(action);
+        } else {
+            targets_.perform(action);
+        }
+    }
+
     /// @brief Ends the process once all answers have been sent and closed sessions have ended.
     void stop_when_sent();
     void schedule_timer();
@@ -119,6 +131,8 @@
     std::optional<platform_adapter::promotion_client> promotion_client_;
     /// Empty if hosts do not exchange messages.
     std::optional<link_router> link_router_;
+    /// Empty if hosts do not exchange messages.
+    std::optional<connection_lending> lending_;
     std::shared_ptr<proxy::registry_follower> configuration_follower_;
     /// Empty if the deployment does not bound the use of withdrawn keys.
     std::optional<proxy::configuration_proof> configuration_proof_;
