--- a/packages/proxy/test/lending/connection_lender_test.cpp
+++ b/packages/proxy/test/lending/connection_lender_test.cpp
@@ -80,8 +80,9 @@
         }
     }
 
-    void send(const loan_id& loan, std::vector<command_kind> kinds) {
+    void send(const loan_id& loan, const std::vector<command_kind>& kinds) {
         std::vector<target_command> commands;
+        commands.reserve(kinds.size());
         for (const command_kind kind : kinds) {
             commands.push_back({kind, {}, {}, {}, std::nullopt, 0});
         }
@@ -139,9 +140,7 @@
     loan_id loan;
     core::connection_id id = 0;
 
-    lent_connection() {
-        loan = driver.borrow("o");
-        id = driver.opening.front().connection;
+    lent_connection() : loan{driver.borrow("o")}, id{driver.opening.front().connection} {
         driver.accept();
     }
 };
--- a/packages/proxy/test/lending/holder_ranking_test.cpp
+++ b/packages/proxy/test/lending/holder_ranking_test.cpp
@@ -69,6 +69,7 @@
 // Guards against giving a host with a small share of a core as many connections as a large one.
 BOOST_AUTO_TEST_CASE(the_share_of_targets_follows_the_weight) {
     std::vector<link_peer> peers;
+    peers.reserve(20);
     for (int index = 0; index < 20; ++index) {
         peers.push_back({core::host_id{"h" + std::to_string(index)}, core::domain_id{"a"}, "west",
                          index < 10 ? 0.4 : 0.1, "10.0.0.1:1"});
