--- a/packages/proxy/include/lovagemoor/proxy/registry/configuration_proof.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/configuration_proof.hpp
@@ -24,6 +24,10 @@
     /// next one.
     configuration_proof(std::string prefix, std::chrono::milliseconds interval);
 
+    /// @brief Changes the time between the sending of a call that proved the configuration and the
+    /// next one.
+    void set_interval(std::chrono::milliseconds interval);
+
     /// @return The call to make now. Empty while a call is pending or none is due.
     [[nodiscard]] std::optional<call> next_call(core::time_point now);
 
@@ -56,7 +60,10 @@
     /// Revision up to which all changes are known; 0 if the items must be listed.
     registry_revision revision_ = 0;
     core::time_point sent_;
-    core::time_point due_;
+    /// Time at which the call that last proved the configuration was sent.
+    std::optional<core::time_point> proved_sent_;
+    /// End of the delay after a failed call.
+    core::time_point retry_at_;
 };
 
 } // namespace lovagemoor::proxy
--- /dev/null
+++ b/packages/proxy/include/lovagemoor/proxy/relay/relay_choice.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <lovagemoor/core/ids.hpp>
+#include <lovagemoor/proxy/link/link_peer.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <string_view>
+#include <vector>
+
+/// @file
+/// @brief Which hosts of a failure domain pass the registry's answers on to the others.
+
+namespace lovagemoor::proxy {
+
+/// Hosts of each failure domain that call the registry for the others. The second one serves while
+/// the first is lost.
+constexpr std::size_t relays_per_domain = 2;
+
+/// Calls go through relays if more hosts than this are linked. The calls of fewer hosts cost less
+/// than the delay of a detour when a relay is lost.
+constexpr std::size_t relay_threshold = 30;
+
+/// Time over which the hosts of a lost relay spread their calls to the registry.
+constexpr std::chrono::milliseconds relay_loss_spread{500};
+
+/// @return The score of a candidate in weighted rendezvous hashing: the highest one is chosen, each
+/// candidate in proportion to its weight.
+[[nodiscard]] double weighted_rendezvous_score(std::string_view key, std::string_view candidate,
+                                               double weight);
+
+/// @return The relays of a failure domain, best first. Depends only on the list, so hosts with the
+/// same list agree.
+[[nodiscard]] std::vector<core::host_id> relays_of_domain(const std::vector<link_peer>& peers,
+                                                          const core::domain_id& domain);
+
+/// @return The relays that a host may ask, in its order of preference. Empty if it is a relay
+/// itself.
+[[nodiscard]] std::vector<core::host_id> relays_for(const std::vector<link_peer>& peers,
+                                                    const core::host_id& host,
+                                                    const core::domain_id& domain);
+
+/// @return The part of relay_loss_spread after which a host calls the registry itself.
+[[nodiscard]] std::chrono::milliseconds relay_loss_delay(const core::host_id& host);
+
+} // namespace lovagemoor::proxy
--- a/packages/proxy/src/registry/configuration_proof.cpp
+++ b/packages/proxy/src/registry/configuration_proof.cpp
@@ -7,8 +7,14 @@
 configuration_proof::configuration_proof(std::string prefix, std::chrono::milliseconds interval)
     : prefix_{std::move(prefix)}, interval_{interval} {}
 
+void configuration_proof::set_interval(std::chrono::milliseconds interval) {
+    interval_ = interval;
+}
+
 std::optional<configuration_proof::call> configuration_proof::next_call(core::time_point now) {
-    if (under_way_ || now < due_) {
+    const bool proved =
+        revision_ != 0 && proved_sent_.has_value() && now < *proved_sent_ + interval_;
+    if (under_way_ || proved || now < retry_at_) {
         return std::nullopt;
     }
     under_way_ = true;
@@ -40,7 +46,7 @@
     under_way_ = false;
     if (changes.status == registry_status::history_lost) {
         revision_ = 0;
-        due_ = now;
+        retry_at_ = now;
         return {};
     }
     if (changes.status != registry_status::done) {
@@ -54,16 +60,16 @@
 void configuration_proof::on_restored(core::time_point now) {
     under_way_ = false;
     revision_ = 0;
-    due_ = now;
+    retry_at_ = now;
 }
 
 void configuration_proof::on_failure(core::time_point now) {
-    due_ = now + retry_pause;
+    retry_at_ = now + retry_pause;
 }
 
 void configuration_proof::on_proved(registry_revision revision) {
     revision_ = revision;
-    due_ = sent_ + interval_;
+    proved_sent_ = sent_;
 }
 
 } // namespace lovagemoor::proxy
