Make calls that read the registry through relays

Adds the source of all calls that read the registry: it sends them to a relay or makes them itself, repeats at the registry what a relay does not answer, and answers the calls of other hosts on a relay. The frames carry the era that the requester knows and the reason of a refusal. Not yet used by session_host.

--- a/packages/proxy/include/lovagemoor/proxy/relay/registry_cache.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/relay/registry_cache.hpp
@@ -47,9 +47,9 @@
     void on_changes(core::time_point now, core::time_point sent, const watch_items& call,
                     const item_changes& changes);
 
-    /// @brief The registry has come back from an older copy: revisions of earlier answers are not
-    /// comparable with those of later ones. Pending watches end with lost history.
-    void on_restored();
+    /// @brief Forgets the items, for example because the registry has come back from an older copy.
+    /// Pending watches end with lost history.
+    void reset();
     /// @}
 
     /// @name Calls of other hosts
--- a/packages/proxy/include/lovagemoor/proxy/relay/relay_selector.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/relay/relay_selector.hpp
@@ -41,6 +41,9 @@
     /// @return True if this host answers calls of other hosts.
     [[nodiscard]] bool is_relay() const noexcept { return is_relay_; }
 
+    /// @return True if the host is a relay that this host may ask.
+    [[nodiscard]] bool is_candidate(const core::host_id& host) const;
+
     /// @return The relay to ask for a proof. Empty if there is none or all have failed lately.
     [[nodiscard]] std::optional<core::host_id> relay_for_proof(core::time_point now) const;
 
--- a/packages/proxy/src/relay/registry_cache.cpp
+++ b/packages/proxy/src/relay/registry_cache.cpp
@@ -139,8 +139,12 @@
 
 void registry_cache::on_changes(core::time_point now, core::time_point sent,
                                 const watch_items& call, const item_changes& changes) {
-    // A watch that continues from a later revision leaves a gap.
-    if (changes.status != registry_status::done || !known_ || polled_ || call.after > revision_) {
+    if (changes.status != registry_status::done || !known_ || polled_) {
+        return;
+    }
+    if (call.after > revision_) {
+        // The changes up to the revision from which the watch continued are missing.
+        reset();
         return;
     }
     std::vector<item_change> news;
@@ -173,7 +177,7 @@
     }
 }
 
-void registry_cache::on_restored() {
+void registry_cache::reset() {
     known_ = false;
     polled_ = false;
     items_.clear();
--- a/packages/proxy/src/relay/relay_selector.cpp
+++ b/packages/proxy/src/relay/relay_selector.cpp
@@ -24,6 +24,11 @@
     candidates_ = std::move(updated);
 }
 
+bool relay_selector::is_candidate(const core::host_id& host) const {
+    return std::any_of(candidates_.begin(), candidates_.end(),
+                       [&host](const candidate& known) { return known.host == host; });
+}
+
 std::optional<core::host_id> relay_selector::relay_for_proof(core::time_point now) const {
     for (const candidate& known : candidates_) {
         if (now >= known.avoided_until) {
--- /dev/null
+++ b/programs/lovagemoord/src/registry_relay.cpp
@@ -0,0 +1,324 @@
+#include "registry_relay.hpp"
+
+#include <lovagemoor/core/overloaded.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+#include <utility>
+
+namespace lovagemoor {
+
+namespace internal {
+
+namespace {
+
+/// @return The name of a call's kind in metrics.
+std::string kind_of(const proxy::registry_source::call& made, registry_relay::purpose reason) {
+    if (reason == registry_relay::purpose::prove) {
+        return "proof";
+    }
+    return std::holds_alternative<proxy::list_items>(made) ? "list" : "watch";
+}
+
+template <typename Message>
+std::optional<proxy::registry_era> era_of(const Message& message) {
+    return message.has_era() ? std::optional<proxy::registry_era>{message.era()} : std::nullopt;
+}
+
+template <typename Message>
+void set_era(Message& message, const std::optional<proxy::registry_era>& era) {
+    message.set_has_era(era.has_value());
+    message.set_era(era.value_or(0));
+}
+
+/// @return A time in milliseconds as a field of a frame holds it. The longest one stands for all
+/// that are longer.
+std::uint32_t milliseconds_field(std::chrono::milliseconds time) {
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(time.count(), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+link::frame encode(const proxy::relay_request& request) {
+    link::frame message;
+    std::visit(core::overloaded{
+                   [&](const proxy::list_items& made) {
+                       link::v1::RelayList& body = *message.mutable_relay_list();
+                       body.set_number(request.number);
+                       body.set_prefix(made.prefix);
+                       body.set_after_key(made.after_key);
+                       body.set_may_be_stale(made.may_be_stale);
+                       set_era(body, request.era);
+                   },
+                   [&](const proxy::watch_items& made) {
+                       link::v1::RelayWatch& body = *message.mutable_relay_watch();
+                       body.set_number(request.number);
+                       body.set_prefix(made.prefix);
+                       body.set_after_revision(made.after);
+                       body.set_wait_ms(milliseconds_field(made.wait));
+                       set_era(body, request.era);
+                   },
+               },
+               request.call);
+    return message;
+}
+
+proxy::relay_request decode(const link::v1::RelayList& body) {
+    return {body.number(), proxy::list_items{body.prefix(), body.after_key(), body.may_be_stale()},
+            era_of(body)};
+}
+
+proxy::relay_request decode(const link::v1::RelayWatch& body) {
+    return {body.number(),
+            proxy::watch_items{body.prefix(), body.after_revision(),
+                               std::chrono::milliseconds{body.wait_ms()}},
+            era_of(body)};
+}
+
+void encode_item(const proxy::registry_item& item, link::v1::RelayItem& encoded) {
+    encoded.set_key(item.key);
+    encoded.set_value(item.value);
+    encoded.set_revision(item.revision);
+    encoded.set_lease(item.lease);
+}
+
+proxy::registry_item decode_item(const link::v1::RelayItem& item) {
+    return {item.key(), item.value(), item.revision(), item.lease()};
+}
+
+/// @brief Sets the fields that answers to lists and watches share.
+template <typename Message, typename Result>
+void encode_result(const proxy::relay_answer& answer, const Result& result, Message& body) {
+    body.set_number(answer.number);
+    body.set_status(static_cast<std::uint32_t>(result.status));
+    body.set_revision(result.revision);
+    set_era(body, result.era);
+    body.set_proof_age_ms(milliseconds_field(answer.proof_age));
+    body.set_refusal(static_cast<link::v1::RelayRefusal>(answer.refusal));
+}
+
+link::frame encode(const proxy::relay_answer& answer) {
+    link::frame message;
+    std::visit(core::overloaded{
+                   [&](const proxy::item_page& page) {
+                       link::v1::RelayPage& body = *message.mutable_relay_page();
+                       encode_result(answer, page, body);
+                       body.set_more(page.more);
+                       for (const proxy::registry_item& item : page.items) {
+                           encode_item(item, *body.add_items());
+                       }
+                   },
+                   [&](const proxy::item_changes& changes) {
+                       link::v1::RelayChanges& body = *message.mutable_relay_changes();
+                       encode_result(answer, changes, body);
+                       for (const proxy::item_change& change : changes.changes) {
+                           link::v1::RelayItem& encoded = *body.add_changes();
+                           encode_item(change.item, encoded);
+                           encoded.set_removed(change.removed);
+                       }
+                   },
+               },
+               answer.result);
+    return message;
+}
+
+/// @return An answer without its items. A value that this build does not know counts as a call that
+/// the relay cannot answer.
+template <typename Message, typename Result>
+proxy::relay_answer decode_result(const Message& body, Result result) {
+    constexpr auto last_status = static_cast<std::uint32_t>(proxy::registry_status::unknown);
+    constexpr auto last_refusal = static_cast<int>(proxy::relay_refusal::not_relay);
+    proxy::relay_answer answer;
+    answer.number = body.number();
+    const int refusal = static_cast<int>(body.refusal());
+    answer.refusal = refusal >= 0 && refusal <= last_refusal && body.status() <= last_status
+                         ? static_cast<proxy::relay_refusal>(refusal)
+                         : proxy::relay_refusal::not_held;
+    result.status = body.status() <= last_status
+                        ? static_cast<proxy::registry_status>(body.status())
+                        : proxy::registry_status::unknown;
+    result.revision = body.revision();
+    result.era = era_of(body);
+    answer.result = std::move(result);
+    answer.proof_age = std::chrono::milliseconds{body.proof_age_ms()};
+    return answer;
+}
+
+proxy::relay_answer decode(const link::v1::RelayPage& body) {
+    proxy::item_page page;
+    page.more = body.more();
+    for (const link::v1::RelayItem& item : body.items()) {
+        page.items.push_back(decode_item(item));
+    }
+    return decode_result(body, std::move(page));
+}
+
+proxy::relay_answer decode(const link::v1::RelayChanges& body) {
+    proxy::item_changes changes;
+    for (const link::v1::RelayItem& item : body.changes()) {
+        changes.changes.push_back({decode_item(item), item.removed()});
+    }
+    return decode_result(body, std::move(changes));
+}
+
+} // namespace
+
+} // namespace internal
+
+registry_relay::registry_relay(platform_adapter::registry_client& client, link_router* router,
+                               configuration parameters, hooks functions)
+    : client_{client},
+      router_{router},
+      source_{std::move(parameters.host),
+              std::move(parameters.domain),
+              std::move(parameters.proved_prefix),
+              std::move(parameters.relayed_prefixes),
+              parameters.settings,
+              source_hooks(std::move(functions))} {
+    if (router_ != nullptr) {
+        receive_frames();
+    }
+}
+
+proxy::registry_source::hooks registry_relay::source_hooks(hooks functions) {
+    proxy::registry_source::hooks result;
+    result.now = std::move(functions.now);
+    result.current_era = std::move(functions.current_era);
+    result.accept_answer = std::move(functions.accept_answer);
+    result.list = [this](const proxy::list_items& made,
+                         std::function<void(const proxy::item_page&)> done) {
+        client_.list(made, std::move(done));
+    };
+    result.watch = [this](const proxy::watch_items& made,
+                          std::function<void(const proxy::item_changes&)> done) {
+        client_.watch(made, std::move(done));
+    };
+    result.send_request = [this](const core::host_id& relay, const proxy::relay_request& request) {
+        return send_request(relay, request);
+    };
+    result.on_settled = [this](const core::host_id& relay) { settle(relay); };
+    result.send_answer = [this](proxy::relay_service::requester requester,
+                                const proxy::relay_answer& answer) {
+        send_answer(requester, answer);
+    };
+    result.on_call = [count = functions.count](const proxy::registry_source::call& made,
+                                               purpose reason, bool relayed) {
+        count({"lovagemoor_registry_calls_total",
+               {{"kind", internal::kind_of(made, reason)},
+                {"source", relayed ? "relay" : "registry"}}});
+    };
+    result.on_relay_failure = [count = functions.count, log = std::move(functions.log)](
+                                  const core::host_id& relay, const char* reason) {
+        count({"lovagemoor_relay_failures_total", {{"reason", reason}}});
+        // A relay that failed is avoided for seconds, which bounds the number of lines.
+        log({core::log_event::level::warning,
+             "registry_relay_failed",
+             {{"relay", relay.value}, {"reason", reason}}});
+    };
+    return result;
+}
+
+void registry_relay::receive_frames() {
+    router_->on_frame(link::frame::kRelayList,
+                      [this](link::channel_id channel, const link::frame& message) {
+                          source_.on_request(channel, internal::decode(message.relay_list()));
+                          router_->flush();
+                      });
+    router_->on_frame(link::frame::kRelayWatch,
+                      [this](link::channel_id channel, const link::frame& message) {
+                          source_.on_request(channel, internal::decode(message.relay_watch()));
+                          router_->flush();
+                      });
+    router_->on_frame(link::frame::kRelayPage,
+                      [this](link::channel_id channel, const link::frame& message) {
+                          on_answer(channel, internal::decode(message.relay_page()));
+                      });
+    router_->on_frame(link::frame::kRelayChanges,
+                      [this](link::channel_id channel, const link::frame& message) {
+                          on_answer(channel, internal::decode(message.relay_changes()));
+                      });
+    router_->on_closed([this](link::channel_id channel) { on_closed(channel); });
+}
+
+void registry_relay::list(const proxy::list_items& made, purpose reason, page_handler done) {
+    source_.list(made, reason, std::move(done));
+}
+
+void registry_relay::watch(const proxy::watch_items& made, purpose reason, changes_handler done) {
+    source_.watch(made, reason, std::move(done));
+}
+
+void registry_relay::set_peers(const std::vector<proxy::link_peer>& peers) {
+    if (router_ != nullptr) {
+        source_.on_peers(peers);
+    }
+}
+
+void registry_relay::on_restored() {
+    source_.on_restored();
+}
+
+void registry_relay::poll() {
+    source_.poll();
+}
+
+std::optional<std::chrono::milliseconds>
+registry_relay::proof_interval(const std::optional<std::chrono::milliseconds>& configured) const {
+    return source_.proof_interval(configured);
+}
+
+bool registry_relay::send_request(const core::host_id& relay, const proxy::relay_request& request) {
+    const link::channel_id channel = router_ == nullptr ? 0 : router_->channel_to(relay);
+    if (channel == 0) {
+        return false;
+    }
+    relay_channel& used = channels_[relay];
+    if (used.channel != channel) {
+        used = relay_channel{channel, 0};
+    }
+    ++used.outstanding;
+    router_->change_expected_answers(channel, 1);
+    router_->send(channel, internal::encode(request));
+    router_->flush();
+    return true;
+}
+
+void registry_relay::settle(const core::host_id& relay) {
+    const auto used = channels_.find(relay);
+    if (used != channels_.end() && used->second.outstanding > 0) {
+        --used->second.outstanding;
+        router_->change_expected_answers(used->second.channel, -1);
+    }
+}
+
+void registry_relay::send_answer(link::channel_id channel, const proxy::relay_answer& answer) {
+    router_->send(channel, internal::encode(answer));
+    router_->flush();
+}
+
+std::optional<core::host_id> registry_relay::relay_on(link::channel_id channel) const {
+    for (const auto& [host, used] : channels_) {
+        if (used.channel == channel) {
+            return host;
+        }
+    }
+    return std::nullopt;
+}
+
+void registry_relay::on_answer(link::channel_id channel, const proxy::relay_answer& answer) {
+    const std::optional<core::host_id> relay = relay_on(channel);
+    if (relay.has_value()) {
+        source_.on_answer(*relay, answer);
+    }
+}
+
+void registry_relay::on_closed(link::channel_id channel) {
+    source_.on_requester_lost(channel);
+    const std::optional<core::host_id> relay = relay_on(channel);
+    if (relay.has_value()) {
+        channels_.erase(*relay);
+        source_.on_relay_lost(*relay);
+    }
+}
+
+} // namespace lovagemoor
