Read the registry through relays in session hosts

Lists and watches of configuration, targets, demotions and hosts now go through registry_relay, which sends them to one of two relays of the failure domain if more than 30 hosts are linked. Promotions, leases and writes stay direct calls. Counts calls by kind and source, and observes the age of proofs.

--- a/packages/settings/include/lovagemoor/settings/session_settings.hpp
+++ b/packages/settings/include/lovagemoor/settings/session_settings.hpp
@@ -42,6 +42,8 @@
     std::string registry_address;
     /// Address at which other hosts reach this one; empty if hosts do not exchange messages.
     std::string link_listen;
+    /// Calls that read the registry go through relays if more hosts than this are linked.
+    std::size_t relay_threshold = 30;
     /// Promotion endpoint of the platform; empty if this host does not promote targets.
     std::string promotion_address;
     /// @}
--- a/packages/settings/src/session_settings.cpp
+++ b/packages/settings/src/session_settings.cpp
@@ -161,6 +161,10 @@
                   "Time between the notice that a target is draining and its stop."),
         address_key("link", "listen", false, true, &session_settings::link_listen,
                     "Address for other hosts; empty if hosts do not exchange messages."),
+        range_key("link", "relay_threshold", "", static_cast<std::int64_t>(initial.relay_threshold),
+                  0, 1'000'000, &session_settings::relay_threshold,
+                  "Calls that read the registry go through relays if more hosts than this are "
+                  "linked."),
         range_key("organisations", "key_withdrawal_ms", "ms", 0, 0, one_minute_ms,
                   &session_settings::key_withdrawal,
                   "Time after its withdrawal for which a key may still be used; 0 for no bound."),
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -114,6 +114,8 @@
           platform_adapter::configuration_key, {.watch_pause = internal::configuration_watch_pause,
                                                 .watch_pause_max = internal::watch_pause_max,
                                                 .check_interval = internal::watch_check_interval})},
+      configuration_proof_{std::string{platform_adapter::configuration_key},
+                           settings.key_withdrawal / internal::proofs_per_withdrawal},
       targets_follower_{internal::make_follower(
           platform_adapter::targets_prefix, {.watch_pause = internal::targets_watch_pause,
                                              .watch_pause_max = internal::watch_pause_max,
@@ -133,10 +135,25 @@
     if (!settings.link_listen.empty()) {
         open_link();
     }
-    if (settings.key_withdrawal.count() > 0) {
-        configuration_proof_.emplace(std::string{platform_adapter::configuration_key},
-                                     settings.key_withdrawal / internal::proofs_per_withdrawal);
-    }
+    registry_client_.set_write_observer([this](platform_adapter::registry_client::write_kind kind) {
+        const bool renewal = kind == platform_adapter::registry_client::write_kind::renewal;
+        metrics_.perform(
+            core::count_metric{"lovagemoor_registry_calls_total",
+                               {{"kind", renewal ? "renewal" : "write"}, {"source", "registry"}}});
+    });
+    // Promotions are not relayed: their delay would add to that of a failover.
+    registry_relay::configuration relay_configuration{
+        settings.id,
+        settings.domain,
+        std::string{platform_adapter::configuration_key},
+        {std::string{platform_adapter::configuration_key},
+         std::string{platform_adapter::targets_prefix},
+         std::string{platform_adapter::demotions_prefix},
+         std::string{platform_adapter::host_keys_prefix}},
+        {}};
+    relay_configuration.settings.threshold = settings.relay_threshold;
+    registry_relay_.emplace(registry_client_, link_router_.has_value() ? &*link_router_ : nullptr,
+                            std::move(relay_configuration), relay_hooks());
     if (!settings.metrics_listen.empty()) {
         metrics_server_.emplace(context_, settings.metrics_listen,
                                 [this](const gateway::http_server::request& request) {
@@ -149,6 +166,18 @@
     }
 }
 
+registry_relay::hooks session_host::relay_hooks() {
+    registry_relay::hooks hooks;
+    hooks.now = internal::now;
+    hooks.current_era = [this] { return registry_eras_.current(); };
+    hooks.accept_answer = [this](const std::optional<proxy::registry_era>& era) {
+        return accept_answer(era);
+    };
+    hooks.count = [this](const core::count_metric& metric) { metrics_.perform(metric); };
+    hooks.log = [this](const core::log_event& event) { logger_.perform(event); };
+    return hooks;
+}
+
 void session_host::open_link() {
     link::link_settings link_settings;
     link_settings.self = settings_.id;
@@ -285,6 +314,7 @@
 void session_host::poll_registry() {
     update_lock_era();
     slow_down_hosts_polls();
+    registry_relay_->poll();
     maintain_registration();
     run_follower(configuration_follower_);
     run_follower(targets_follower_);
@@ -316,15 +346,23 @@
 }
 
 void session_host::prove_configuration() {
-    if (!configuration_proof_.has_value()) {
+    std::optional<std::chrono::milliseconds> required;
+    if (settings_.key_withdrawal.count() > 0) {
+        required = settings_.key_withdrawal / internal::proofs_per_withdrawal;
+    }
+    const std::optional<std::chrono::milliseconds> interval =
+        registry_relay_->proof_interval(required);
+    if (!interval.has_value()) {
         return;
     }
+    configuration_proof_.set_interval(*interval);
     const std::optional<proxy::configuration_proof::call> call =
-        configuration_proof_->next_call(internal::now());
+        configuration_proof_.next_call(internal::now());
     if (!call.has_value()) {
         return;
     }
-    const auto apply = [this, sent_in = registry_eras_.current()](const auto& read_answer) {
+    const auto apply = [this, sent_in = registry_eras_.current()](
+                           const registry_relay::origin& origin, const auto& read_answer) {
         if (registry_eras_.restored_since(sent_in)) {
             return;
         }
@@ -333,24 +371,37 @@
             apply_configuration(change);
         }
         if (outcome.as_of.has_value()) {
-            handle(proxy::configuration_confirmed{*outcome.as_of});
+            // The age that a relay states is counted from the sending of the request, so an answer
+            // that was delayed does not appear younger than it is.
+            const core::time_point as_of = *outcome.as_of - origin.proof_age;
+            metrics_.perform(core::observe_duration{
+                "lovagemoor_configuration_proof_age_seconds", {}, internal::now() - as_of});
+            handle(proxy::configuration_confirmed{as_of});
         }
     };
-    std::visit(
-        core::overloaded{
-            [&](const proxy::list_items& value) {
-                registry_client_.list(value, [this, apply](const proxy::item_page& page) {
-                    apply([&] { return configuration_proof_->on_page(internal::now(), page); });
-                });
-            },
-            [&](const proxy::watch_items& value) {
-                registry_client_.watch(value, [this, apply](const proxy::item_changes& changes) {
-                    apply(
-                        [&] { return configuration_proof_->on_changes(internal::now(), changes); });
-                });
-            },
-        },
-        *call);
+    std::visit(core::overloaded{
+                   [&](const proxy::list_items& value) {
+                       registry_relay_->list(value, registry_relay::purpose::prove,
+                                             [this, apply](const proxy::item_page& page,
+                                                           const registry_relay::origin& origin) {
+                                                 apply(origin, [&] {
+                                                     return configuration_proof_.on_page(
+                                                         internal::now(), page);
+                                                 });
+                                             });
+                   },
+                   [&](const proxy::watch_items& value) {
+                       registry_relay_->watch(value, registry_relay::purpose::prove,
+                                              [this, apply](const proxy::item_changes& changes,
+                                                            const registry_relay::origin& origin) {
+                                                  apply(origin, [&] {
+                                                      return configuration_proof_.on_changes(
+                                                          internal::now(), changes);
+                                                  });
+                                              });
+                   },
+               },
+               *call);
 }
 
 bool session_host::accept_answer(const std::optional<proxy::registry_era>& era) {
@@ -386,6 +437,9 @@
         {{"revision", std::to_string(configuration_follower_->revision())},
          {"lease", std::to_string(registration_.lease())},
          {"delay_ms", std::to_string(delay.count())}});
+    // Before the first new call, as this abandons the calls through relays.
+    registry_relay_->on_restored();
+    configuration_proof_.on_restored(time);
     for (std::shared_ptr<proxy::registry_follower>* const urgent :
          {&configuration_follower_, &targets_follower_, &demotions_follower_}) {
         start_afresh(*urgent, {});
@@ -393,9 +447,6 @@
             run_follower(*urgent);
         }
     }
-    if (configuration_proof_.has_value()) {
-        configuration_proof_->on_restored(time);
-    }
     recent_revisions_ = {};
     start_afresh(hosts_follower_, delay);
     start_afresh(promotion_follower_, delay);
@@ -461,38 +512,42 @@
                 run_follower(still_followed);
             }
         };
-    std::visit(core::overloaded{
-                   [&](const proxy::list_items& value) {
-                       // A list shows at least the state of the time at which it was requested.
-                       const auto on_page = [this, process_result, sent = internal::now(),
-                                             stale =
-                                                 value.may_be_stale](const proxy::item_page& page) {
-                           if (page.status == proxy::registry_status::done && !stale) {
-                               recent_revisions_.note(sent, page.revision);
-                           }
-                           process_result([&page](proxy::registry_follower& source) {
-                               return source.on_page(internal::now(), page);
-                           });
-                       };
-                       registry_client_.list(value, on_page);
-                   },
-                   [&](const proxy::watch_items& value) {
-                       registry_client_.watch(
-                           value, [this, process_result](const proxy::item_changes& changes) {
-                               if (changes.status == proxy::registry_status::done) {
-                                   recent_revisions_.note(internal::now(), changes.revision);
-                               }
-                               process_result([&changes, this](proxy::registry_follower& source) {
-                                   if (changes.status == proxy::registry_status::history_lost &&
-                                       source.lost_history_early(internal::now())) {
-                                       note_disturbance();
-                                   }
-                                   return source.on_changes(internal::now(), changes);
-                               });
-                           });
-                   },
-               },
-               *call);
+    std::visit(
+        core::overloaded{
+            [&](const proxy::list_items& value) {
+                // A list shows at least the state of the time at which it was requested.
+                const auto on_page =
+                    [this, process_result, sent = internal::now(), stale = value.may_be_stale](
+                        const proxy::item_page& page, const registry_relay::origin& origin) {
+                        const bool exact = !stale && !origin.relayed;
+                        if (page.status == proxy::registry_status::done && exact) {
+                            recent_revisions_.note(sent, page.revision);
+                        }
+                        process_result([&page](proxy::registry_follower& source) {
+                            return source.on_page(internal::now(), page);
+                        });
+                    };
+                registry_relay_->list(value, registry_relay::purpose::follow, on_page);
+            },
+            [&](const proxy::watch_items& value) {
+                registry_relay_->watch(
+                    value, registry_relay::purpose::follow,
+                    [this, process_result](const proxy::item_changes& changes,
+                                           const registry_relay::origin& origin) {
+                        if (changes.status == proxy::registry_status::done && !origin.relayed) {
+                            recent_revisions_.note(internal::now(), changes.revision);
+                        }
+                        process_result([&changes, this](proxy::registry_follower& source) {
+                            if (changes.status == proxy::registry_status::history_lost &&
+                                source.lost_history_early(internal::now())) {
+                                note_disturbance();
+                            }
+                            return source.on_changes(internal::now(), changes);
+                        });
+                    });
+            },
+        },
+        *call);
 }
 
 std::array<std::shared_ptr<proxy::registry_follower>*, 4> session_host::watching_followers() {
@@ -530,16 +585,18 @@
             (*slot)->next_check(time, recent_revisions_.oldest(time));
         if (check.has_value()) {
             const bool is_exact = !check->may_be_stale;
-            registry_client_.list(*check, [this, time, is_exact,
-                                           weak = std::weak_ptr<proxy::registry_follower>{*slot}](
-                                              const proxy::item_page& page) {
-                if (is_exact && page.status == proxy::registry_status::done) {
-                    recent_revisions_.note(time, page.revision);
-                }
-                if (const auto checked = weak.lock()) {
-                    finish_check(checked, page);
-                }
-            });
+            registry_relay_->list(
+                *check, registry_relay::purpose::check,
+                [this, time, is_exact, weak = std::weak_ptr<proxy::registry_follower>{*slot}](
+                    const proxy::item_page& page, const registry_relay::origin& origin) {
+                    if (is_exact && !origin.relayed &&
+                        page.status == proxy::registry_status::done) {
+                        recent_revisions_.note(time, page.revision);
+                    }
+                    if (const auto checked = weak.lock()) {
+                        finish_check(checked, page);
+                    }
+                });
         }
     }
 }
@@ -680,6 +737,7 @@
     handle(listed);
     if (link_router_.has_value()) {
         link_router_->set_peers(links.peers);
+        registry_relay_->set_peers(links.peers);
         handle(links);
     }
 }
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "link_router.hpp"
+#include "registry_relay.hpp"
 
 #include <lovagemoor/gateway/caller_listener.hpp>
 #include <lovagemoor/gateway/http_server.hpp>
@@ -94,7 +95,9 @@
     void open_link();
     /// @brief Reads the list of hosts less often once those that started together are known.
     void slow_down_hosts_polls();
-    /// @brief Makes the next call that proves the configuration, if keys may be withdrawn.
+    [[nodiscard]] registry_relay::hooks relay_hooks();
+    /// @brief Makes the next call that proves the configuration, if keys may be withdrawn or hosts
+    /// pass on answers of the registry.
     void prove_configuration();
     void poll_registry();
     [[nodiscard]] gateway::http_server::response
@@ -119,9 +122,10 @@
     std::optional<platform_adapter::promotion_client> promotion_client_;
     /// Empty if hosts do not exchange messages.
     std::optional<link_router> link_router_;
+    /// Makes all calls that read the registry. Set for the lifetime of the host.
+    std::optional<registry_relay> registry_relay_;
     std::shared_ptr<proxy::registry_follower> configuration_follower_;
-    /// Empty if the deployment does not bound the use of withdrawn keys.
-    std::optional<proxy::configuration_proof> configuration_proof_;
+    proxy::configuration_proof configuration_proof_;
     std::shared_ptr<proxy::registry_follower> targets_follower_;
     std::shared_ptr<proxy::registry_follower> hosts_follower_;
     /// Null until the engine asks for the demotions.
