--- a/standins/session/include/lovagemoor/session_standins/standin_store.hpp
+++ b/standins/session/include/lovagemoor/session_standins/standin_store.hpp
@@ -47,6 +47,9 @@
 
     [[nodiscard]] bool contains(const std::string& key) const;
 
+    /// @return Number of lists and watches that were received.
+    [[nodiscard]] std::uint64_t reads() const noexcept { return reads_; }
+
 private:
     struct item {
         /// The value in Base64, as it is sent to clients.
@@ -96,6 +99,7 @@
     std::uint64_t era_ = 1;
     bool available_ = true;
     bool lose_watches_ = false;
+    std::uint64_t reads_ = 0;
     /// Not part of a copy: identifiers of leases are not given out again.
     std::uint64_t last_lease_id_ = 0;
     gateway::http_server server_;
--- a/standins/session/src/standin_store.cpp
+++ b/standins/session/src/standin_store.cpp
@@ -120,6 +120,7 @@
     expire_leases();
     const std::string path = request.target.substr(0, request.target.find('?'));
     const std::string renewal = "/v1/kv-keep/";
+    reads_ += path == "/v1/kv-range" || path == "/v1/kv-watch" ? 1 : 0;
     if (path == "/v1/kv-range") {
         return list_items(internal::query_parameter(request.target, "path_prefix"));
     }
--- /dev/null
+++ b/tests/process/registry_relay_test.cpp
@@ -0,0 +1,274 @@
+#include <lovagemoor/session_standins/standin_store.hpp>
+#include <lovagemoor/testbed/child_process.hpp>
+#include <lovagemoor/testbed/free_ports.hpp>
+#include <lovagemoor/testbed/programs.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <cstddef>
+#include <cstdint>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <future>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+/// @file
+/// @brief Three hosts of one failure domain, of which two are relays of the registry's answers.
+
+namespace lovagemoor {
+
+namespace {
+
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr std::size_t host_count = 3;
+
+/// @brief Runs the hosts as separate processes with a stand-in for the registry on a thread of the
+/// test.
+class linked_hosts {
+public:
+    linked_hosts()
+        : store_{context_},
+          ports_{testbed::find_free_ports(4 * host_count)},
+          directory_{std::filesystem::temp_directory_path() /
+                     ("lovagemoor-relay-" + std::to_string(ports_.front()))} {
+        store_.put("op/config", configuration(1));
+        std::filesystem::create_directories(directory_);
+        thread_ = std::thread{[this] { context_.run(); }};
+        for (std::size_t index = 0; index < host_count; ++index) {
+            write_settings(index);
+            hosts_.emplace_back(std::vector<std::string>{testbed::host_program(), "--sessions",
+                                                         "--settings=" + settings_path(index)},
+                                (directory_ / (name(index) + ".log")).string());
+            static_cast<void>(hosts_.back().wait_until_ready(20s));
+        }
+    }
+
+    linked_hosts(const linked_hosts&) = delete;
+    linked_hosts& operator=(const linked_hosts&) = delete;
+    linked_hosts(linked_hosts&&) = delete;
+    linked_hosts& operator=(linked_hosts&&) = delete;
+
+    ~linked_hosts() {
+        hosts_.clear();
+        context_.stop();
+        thread_.join();
+        std::error_code ignored;
+        std::filesystem::remove_all(directory_, ignored);
+    }
+
+    /// @brief Writes a configuration that has a route for each version up to this one.
+    void put_configuration(int version) {
+        boost::asio::post(context_,
+                          [this, version] { store_.put("op/config", configuration(version)); });
+    }
+
+    /// @return Number of lists and watches that the registry has received.
+    [[nodiscard]] std::uint64_t reads() {
+        std::promise<std::uint64_t> count;
+        boost::asio::post(context_, [this, &count] { count.set_value(store_.reads()); });
+        return count.get_future().get();
+    }
+
+    testbed::child_process& process(std::size_t index) { return hosts_.at(index); }
+
+    /// @return True if a host has the route of a version.
+    [[nodiscard]] bool serves(std::size_t index, int version) const {
+        const std::string answer =
+            exchange(port(index, 0), "STARTUP db-" + std::to_string(version) + " test\r\n", false);
+        return answer.starts_with("READY");
+    }
+
+    /// @return Sum of a host's calls that read the registry from a source.
+    [[nodiscard]] double calls(std::size_t index, const std::string& source) const {
+        const std::string text = exchange(port(index, 2), "GET /metrics HTTP/1.0\r\n\r\n", true);
+        double sum = 0;
+        for (const char* kind : {"list", "watch", "proof"}) {
+            const std::string series = std::string{"lovagemoor_registry_calls_total{kind=\""} +
+                                       kind + "\",source=\"" + source + "\"} ";
+            const std::size_t found = text.find(series);
+            if (found != std::string::npos) {
+                sum += std::stod(text.substr(found + series.size()));
+            }
+        }
+        return sum;
+    }
+
+    /// @return The host that sends calls to a relay. Empty if there is none within the time.
+    [[nodiscard]] std::optional<std::size_t> find_asker(milliseconds time) const {
+        const steady_clock::time_point end = steady_clock::now() + time;
+        while (steady_clock::now() < end) {
+            for (std::size_t index = 0; index < host_count; ++index) {
+                if (calls(index, "relay") > 0) {
+                    return index;
+                }
+            }
+            std::this_thread::sleep_for(100ms);
+        }
+        return std::nullopt;
+    }
+
+private:
+    [[nodiscard]] static std::string name(std::size_t index) {
+        return "host-" + std::to_string(index);
+    }
+
+    [[nodiscard]] static std::string configuration(int version) {
+        std::string routes;
+        for (int each = 1; each <= version; ++each) {
+            routes += (routes.empty() ? "" : ",") + std::string{R"({"host":"db-)"} +
+                      std::to_string(each) +
+                      R"(","service":"s","route_type":"primary","timeout_ms":5000})";
+        }
+        return R"({"config_version":)" + std::to_string(version) + R"(,"routes":[)" + routes +
+               R"(],"services":[{"name":"s","max_connections":10}]})";
+    }
+
+    [[nodiscard]] std::string settings_path(std::size_t index) const {
+        return (directory_ / (name(index) + ".ini")).string();
+    }
+
+    [[nodiscard]] std::uint16_t port(std::size_t index, std::size_t use) const {
+        return ports_.at(4 * index + use);
+    }
+
+    [[nodiscard]] std::string address(std::size_t index, std::size_t use) const {
+        return "127.0.0.1:" + std::to_string(port(index, use));
+    }
+
+    void write_settings(std::size_t index) const {
+        std::ofstream file{settings_path(index)};
+        file << "[host]\nid = " << name(index)
+             << "\nfailure_domain = a\ncaller_listen = " << address(index, 0)
+             << "\nready_listen = " << address(index, 1)
+             << "\nmetrics_listen = " << address(index, 2)
+             << "\nstop_grace_s = 3\n[registry]\naddress = " << store_.address()
+             << "\n[link]\nlisten = " << address(index, 3) << "\nrelay_threshold = 2\n";
+    }
+
+    /// @param whole Reads until the other side closes the connection instead of one line.
+    /// @return The answer; what was received of it if the connection failed.
+    [[nodiscard]] static std::string exchange(std::uint16_t port, const std::string& request,
+                                              bool whole) {
+        boost::asio::io_context context;
+        tcp::socket socket{context};
+        boost::system::error_code error;
+        static_cast<void>(
+            socket.connect({boost::asio::ip::make_address("127.0.0.1"), port}, error));
+        std::string received;
+        if (!error) {
+            boost::asio::write(socket, boost::asio::buffer(request), error);
+        }
+        if (!error && whole) {
+            boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+        } else if (!error) {
+            boost::asio::read_until(socket, boost::asio::dynamic_buffer(received), '\n', error);
+        }
+        return received;
+    }
+
+    boost::asio::io_context context_;
+    session_standins::standin_store store_;
+    std::vector<std::uint16_t> ports_;
+    std::filesystem::path directory_;
+    std::thread thread_;
+    std::vector<testbed::child_process> hosts_;
+};
+
+bool comes_true(milliseconds time, const std::function<bool()>& condition) {
+    const steady_clock::time_point end = steady_clock::now() + time;
+    while (!condition()) {
+        if (steady_clock::now() >= end) {
+            return false;
+        }
+        std::this_thread::sleep_for(50ms);
+    }
+    return true;
+}
+
+/// Bound of the reference deployments on the time until a configuration is in force.
+constexpr milliseconds configuration_bound{5000};
+
+/// Time in which hosts that started together know each other's links and have a proof of a relay.
+constexpr milliseconds start_time{15000};
+
+} // namespace
+
+// Guards against a host that keeps calling the registry though its relays serve, and against a
+// configuration that does not reach it.
+BOOST_AUTO_TEST_CASE(a_host_reads_the_registry_through_a_relay) {
+    linked_hosts hosts;
+    const std::optional<std::size_t> asker = hosts.find_asker(start_time);
+    BOOST_TEST_REQUIRE(asker.has_value());
+    // Calls of before the first proof have been answered by then.
+    std::this_thread::sleep_for(3s);
+    const double asker_before = hosts.calls(*asker, "registry");
+    const double relayed_before = hosts.calls(*asker, "relay");
+    double relays_before = 0;
+    for (std::size_t index = 0; index < host_count; ++index) {
+        relays_before += hosts.calls(index, "registry");
+    }
+    const std::uint64_t reads_before = hosts.reads();
+    hosts.put_configuration(2);
+    for (std::size_t index = 0; index < host_count; ++index) {
+        BOOST_TEST(comes_true(configuration_bound, [&] { return hosts.serves(index, 2); }));
+    }
+    std::this_thread::sleep_for(3s);
+    const std::uint64_t reads_after = hosts.reads();
+    double relays_after = 0;
+    for (std::size_t index = 0; index < host_count; ++index) {
+        relays_after += hosts.calls(index, "registry");
+    }
+    BOOST_TEST(hosts.calls(*asker, "registry") == asker_before);
+    BOOST_TEST(hosts.calls(*asker, "relay") > relayed_before);
+    // The registry has seen no more calls than the relays count.
+    BOOST_TEST(reads_after > reads_before);
+    BOOST_TEST(static_cast<double>(reads_after - reads_before) <= relays_after - relays_before);
+}
+
+// Guards against a host that waits for relays that are frozen or gone.
+BOOST_AUTO_TEST_CASE(a_host_follows_the_configuration_when_its_relays_fail) {
+    linked_hosts hosts;
+    const std::optional<std::size_t> asker = hosts.find_asker(start_time);
+    BOOST_TEST_REQUIRE(asker.has_value());
+    std::this_thread::sleep_for(3s);
+    for (std::size_t index = 0; index < host_count; ++index) {
+        if (index != *asker) {
+            hosts.process(index).send_signal(SIGSTOP);
+        }
+    }
+    hosts.put_configuration(2);
+    BOOST_TEST(comes_true(configuration_bound, [&] { return hosts.serves(*asker, 2); }));
+    for (std::size_t index = 0; index < host_count; ++index) {
+        if (index != *asker) {
+            hosts.process(index).send_signal(SIGCONT);
+        }
+    }
+    // The relays are asked again.
+    const double relayed = hosts.calls(*asker, "relay");
+    BOOST_TEST(comes_true(20s, [&] { return hosts.calls(*asker, "relay") > relayed + 3; }));
+    for (std::size_t index = 0; index < host_count; ++index) {
+        if (index != *asker) {
+            hosts.process(index).send_signal(SIGKILL);
+        }
+    }
+    hosts.put_configuration(3);
+    BOOST_TEST(comes_true(configuration_bound, [&] { return hosts.serves(*asker, 3); }));
+}
+
+} // namespace lovagemoor
