--- a/packages/proxy/test/registry/configuration_proof_test.cpp
+++ b/packages/proxy/test/registry/configuration_proof_test.cpp
@@ -85,6 +85,17 @@
     BOOST_TEST(std::holds_alternative<list_items>(*proof.next_call(at(4100ms))));
 }
 
+// Guards against a relay that keeps the long interval of its own proofs when other hosts begin to
+// ask for them.
+BOOST_AUTO_TEST_CASE(a_shorter_interval_holds_at_once) {
+    configuration_proof proof = make_proof();
+    (void)proof.next_call(at(1s));
+    (void)proof.on_page(at(1s), page_at(7));
+    BOOST_TEST(!proof.next_call(at(2s)).has_value());
+    proof.set_interval(1000ms);
+    BOOST_TEST(proof.next_call(at(2s)).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lovagemoor::proxy
