--- a/packages/proxy/src/relay/registry_cache.cpp
+++ b/packages/proxy/src/relay/registry_cache.cpp
@@ -57,13 +57,12 @@
         return;
     }
     const core::time_point sent = complete.sent;
-    if (!known_ || polled_) {
+    // A registry that names no era may have come back from an older copy.
+    const bool went_back = complete.revision < revision_ && sent >= revised_at_;
+    if (!known_ || polled_ || went_back) {
         start_afresh(std::move(complete));
     } else if (complete.revision >= revision_) {
         apply_difference(std::move(complete));
-    } else if (sent >= revised_at_) {
-        // A registry that names no era has come back from an older copy.
-        start_afresh(std::move(complete));
     } else {
         return;
     }
