--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -14,6 +14,7 @@
 #include <lovagemoor/proxy/routing/primary_checks.hpp>
 #include <lovagemoor/proxy/routing/primary_view.hpp>
 #include <lovagemoor/proxy/session/session.hpp>
+#include <lovagemoor/proxy/session/session_memory.hpp>
 
 #include <boost/outcome/result.hpp>
 
@@ -41,6 +42,9 @@
     /// @return Time at which the driver must call handle() with timer_expired.
     [[nodiscard]] core::time_point next_wakeup() const;
 
+    /// @return What is held for the session; nothing for an unknown one.
+    [[nodiscard]] session_memory memory_of(session_id id) const;
+
 private:
     /// @brief State of a service.
     struct service_state {
