Give connections turns and search each byte once

A peer that sends faster than its lines are processed kept the loop for itself, and lines that waited behind a pause were copied with each resumption. A stream now reads once and delivers at most 32 lines per turn, asks a gate before it reads, and reports how much it holds and for how long its peer has made no progress. A line over the limit can be answered before the stream closes, and its rest is not stored.

--- a/packages/gateway/include/lovagemoor/gateway/line_stream.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/line_stream.hpp
@@ -22,6 +22,21 @@
     too_large,
 };
 
+/// @brief What a stream holds, and since when its peer has made no progress.
+struct stream_usage {
+    /// Received bytes that have not been delivered as lines.
+    std::size_t input_bytes = 0;
+    /// Bytes of the output buffer.
+    std::size_t output_bytes = 0;
+    /// Time since bytes were last received, or since input was last held back. Zero unless a part
+    /// of a line has arrived and the rest of it is awaited.
+    std::chrono::milliseconds line_pause{0};
+    /// Time since the peer last took bytes; zero if none wait to be sent.
+    std::chrono::milliseconds output_pause{0};
+    /// Time since the peer last sent or took bytes.
+    std::chrono::milliseconds idle{0};
+};
+
 /// @brief A TCP connection that carries lines of text, which end with CR LF. Not thread-safe: use
 /// it only on the thread of its io_context.
 class line_stream : public std::enable_shared_from_this<line_stream> {
@@ -32,6 +47,10 @@
     /// Limit on bytes that wait to be sent. Above it, the stream is closed, unless
     /// pause_input_above_limit() was called.
     static constexpr std::size_t max_unsent_bytes = 4U << 20U;
+    /// Number of lines that are delivered before other connections have their turn.
+    static constexpr std::size_t lines_per_turn = 32;
+    /// Number of bytes that are read at a time.
+    static constexpr std::size_t read_bytes = std::size_t{32} * 1024;
     /// Time for a peer to close its side after this one has been closed. Several round trips.
     static constexpr std::chrono::milliseconds linger_time{500};
 
@@ -44,6 +63,14 @@
     /// longer does (false).
     using output_handler = std::function<void(bool)>;
 
+    /// @brief Decides when the stream may read.
+    struct input_gate {
+        /// Asked for permission to read up to read_bytes.
+        std::function<bool()> may_read;
+        /// Told the number of bytes that were read.
+        std::function<void(std::size_t)> on_received;
+    };
+
     /// @param socket A connected socket.
     explicit line_stream(boost::asio::ip::tcp::socket socket);
 
@@ -52,6 +79,27 @@
     /// disconnected by the time-outs of configure_socket(). Call it before start().
     void pause_input_above_limit(output_handler on_output_changed);
 
+    /// @brief Asks the gate before each read. After a refusal, nothing is read until
+    /// resume_input(). Call it before start().
+    void set_input_gate(input_gate gate);
+
+    /// @brief A line that exceeds the limit shall be reported to this handler instead of ending the
+    /// stream. The handler must close it; the rest of the line is not stored. Call it before
+    /// start().
+    void set_too_large_handler(std::function<void()> on_too_large);
+
+    /// @brief Reads again after the gate has refused. Does nothing otherwise.
+    void resume_input();
+
+    /// @return True while the gate's refusal is in force.
+    [[nodiscard]] bool input_held() const noexcept { return input_held_; }
+
+    [[nodiscard]] stream_usage usage() const;
+
+    /// @brief Counts the times of usage() from now on, for example after this process was stopped
+    /// for a while.
+    void restart_pauses();
+
     /// @brief Starts reading. Both handlers are called on the thread of the io_context.
     void start(line_handler on_line, end_handler on_end);
 
@@ -73,12 +121,22 @@
     void abort();
 
 private:
+    using clock = std::chrono::steady_clock;
+
     void wait_readable();
     void read_available();
-    [[nodiscard]] bool deliver_lines(std::string_view bytes);
-    /// @return Index of the line feed that ends the current line, or npos. A line feed without a
-    /// carriage return before it is part of a field.
-    [[nodiscard]] std::size_t find_line_end(std::string_view bytes) const;
+    /// Delivers what was received, then reads on unless the input has to wait.
+    void continue_input();
+    /// @param bytes Bytes that follow those of input_, or all of input_.
+    /// @param scanned Number of bytes in which no line ends.
+    /// @return Number of bytes that were delivered.
+    [[nodiscard]] std::size_t deliver_lines(std::string_view bytes, std::size_t scanned);
+    /// Delivers all complete lines that may be delivered now.
+    /// @param received Bytes that have just been received.
+    /// @return False if the stream has ended or must not read on.
+    [[nodiscard]] bool process_input(std::string_view received);
+    void report_too_large();
+    void discard_input();
     /// Schedules update_input().
     void post_update();
     /// Reports whether the unsent output exceeds the limit, and resumes reading if it does not.
@@ -96,14 +154,27 @@
     line_handler on_line_;
     end_handler on_end_;
     output_handler on_output_changed_;
+    input_gate gate_;
+    std::function<void()> on_too_large_;
     /// Received bytes that have not been delivered: the start of a line, and the lines that follow
     /// while the input is paused.
-    std::string partial_;
+    std::string input_;
+    /// Number of bytes at the start of input_ in which no line ends. They are not searched again.
+    std::size_t scanned_ = 0;
+    /// The input handler runs, and a view of input_ is in use.
+    bool delivering_ = false;
+    clock::time_point received_at_ = clock::now();
+    clock::time_point sent_at_ = clock::now();
     std::string output_;
     /// Number of bytes at the start of output_ that have been sent.
     std::size_t sent_ = 0;
     bool writing_ = false;
+    /// A wait for input is in progress.
+    bool reading_ = false;
     bool input_paused_ = false;
+    /// Further lines wait until other connections have had their turn.
+    bool awaits_turn_ = false;
+    bool input_held_ = false;
     bool update_posted_ = false;
     /// The last value given to on_output_changed_.
     bool above_limit_ = false;
--- a/packages/gateway/src/line_stream.cpp
+++ b/packages/gateway/src/line_stream.cpp
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -22,7 +23,11 @@
 /// Time after which a connection whose sent bytes are not acknowledged is closed.
 constexpr unsigned user_timeout_ms = 2500;
 
-constexpr std::size_t read_buffer_bytes = std::size_t{32} * 1024;
+/// @return The time since then in whole milliseconds.
+std::chrono::milliseconds elapsed_since(std::chrono::steady_clock::time_point then) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() -
+                                                                 then);
+}
 
 } // namespace
 
@@ -56,9 +61,42 @@
     on_output_changed_ = std::move(on_output_changed);
 }
 
+void line_stream::set_input_gate(input_gate gate) {
+    gate_ = std::move(gate);
+}
+
+void line_stream::set_too_large_handler(std::function<void()> on_too_large) {
+    on_too_large_ = std::move(on_too_large);
+}
+
+stream_usage line_stream::usage() const {
+    stream_usage result;
+    result.input_bytes = input_.size();
+    result.output_bytes = output_.size();
+    const std::chrono::milliseconds since_input = internal::elapsed_since(received_at_);
+    const std::chrono::milliseconds since_output = internal::elapsed_since(sent_at_);
+    if (!input_.empty() && !input_paused_ && !input_held_ && !awaits_turn_) {
+        result.line_pause = since_input;
+    }
+    if (unsent_bytes() > 0) {
+        result.output_pause = since_output;
+    }
+    result.idle = std::min(since_input, since_output);
+    return result;
+}
+
+void line_stream::restart_pauses() {
+    received_at_ = clock::now();
+    sent_at_ = received_at_;
+}
+
 void line_stream::wait_readable() {
+    if (std::exchange(reading_, true)) {
+        return;
+    }
     socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
                        [self = shared_from_this()](const boost::system::error_code& error) {
+                           self->reading_ = false;
                            if (!error && !self->ended_) {
                                self->read_available();
                            }
@@ -66,77 +104,149 @@
 }
 
 void line_stream::read_available() {
-    static thread_local std::array<char, internal::read_buffer_bytes> buffer;
-    for (;;) {
-        boost::system::error_code error;
-        const std::size_t received = socket_.read_some(boost::asio::buffer(buffer), error);
-        if (error == boost::asio::error::would_block) {
-            break;
-        }
-        if (error) {
-            close_and_report(stream_end::closed);
-            return;
-        }
-        if (!deliver_lines(std::string_view{buffer.data(), received}) || ended_) {
-            return;
+    static thread_local std::array<char, read_bytes> buffer;
+    if (!closing_ && gate_.may_read && !gate_.may_read() && !closing_) {
+        input_held_ = !ended_;
+        return;
+    }
+    boost::system::error_code error;
+    const std::size_t received = socket_.read_some(boost::asio::buffer(buffer), error);
+    if (error && error != boost::asio::error::would_block) {
+        close_and_report(stream_end::closed);
+        return;
+    }
+    if (!error) {
+        received_at_ = clock::now();
+        if (!closing_ && gate_.on_received) {
+            gate_.on_received(received);
         }
-        if (must_pause()) {
-            input_paused_ = true;
+        if (!process_input(std::string_view{buffer.data(), received})) {
             return;
         }
-        if (received < buffer.size()) {
-            break;
-        }
     }
+    // One read at a time: a peer that sends faster than its lines are processed would otherwise
+    // keep all others waiting.
     wait_readable();
 }
 
-std::size_t line_stream::find_line_end(std::string_view bytes) const {
-    std::size_t line_feed = bytes.find('\n');
-    while (line_feed != std::string_view::npos) {
-        const bool at_start = line_feed == 0;
-        const char before = !at_start          ? bytes[line_feed - 1]
-                            : partial_.empty() ? '\0'
-                                               : partial_.back();
-        if (before == '\r') {
-            return line_feed;
-        }
-        line_feed = bytes.find('\n', line_feed + 1);
+void line_stream::resume_input() {
+    if (!input_held_ || ended_) {
+        return;
     }
-    return std::string_view::npos;
+    input_held_ = false;
+    received_at_ = clock::now();
+    read_available();
 }
 
-bool line_stream::deliver_lines(std::string_view bytes) {
-    while (!bytes.empty() && !ended_ && !closing_) {
-        if (must_pause()) {
-            partial_ += bytes;
-            return true;
+bool line_stream::process_input(std::string_view received) {
+    if (closing_) {
+        return !ended_;
+    }
+    // Lines are only copied if they are not complete.
+    const bool direct = input_.empty();
+    if (!direct) {
+        input_ += received;
+    }
+    const std::string_view pending = direct ? received : std::string_view{input_};
+    delivering_ = true;
+    const std::size_t delivered = deliver_lines(pending, direct ? 0 : scanned_);
+    delivering_ = false;
+    if (ended_ || closing_) {
+        discard_input();
+        return !ended_;
+    }
+    if (direct) {
+        input_ = pending.substr(delivered);
+    } else {
+        input_.erase(0, delivered);
+    }
+    if (input_.empty() && input_.capacity() > read_bytes) {
+        input_ = {};
+    }
+    if (awaits_turn_ || input_paused_) {
+        return false;
+    }
+    scanned_ = input_.size();
+    if (input_.size() > max_line_bytes) {
+        report_too_large();
+        return !ended_;
+    }
+    return true;
+}
+
+std::size_t line_stream::deliver_lines(std::string_view bytes, std::size_t scanned) {
+    std::size_t start = 0;
+    std::size_t search = scanned;
+    std::size_t lines = 0;
+    // A line feed without a carriage return before it is part of a field.
+    for (std::size_t end = bytes.find('\n', search); end != std::string_view::npos;
+         end = bytes.find('\n', search)) {
+        search = end + 1;
+        if (end == start || bytes[end - 1] != '\r') {
+            continue;
         }
-        const std::size_t line_feed = find_line_end(bytes);
-        if (line_feed == std::string_view::npos) {
-            partial_ += bytes;
+        if (must_pause()) {
+            input_paused_ = true;
             break;
         }
-        std::string_view line = bytes.substr(0, line_feed);
-        bytes.remove_prefix(line_feed + 1);
-        std::string joined;
-        if (!partial_.empty()) {
-            joined = std::exchange(partial_, {});
-            joined += line;
-            line = joined;
+        if (lines == lines_per_turn) {
+            awaits_turn_ = true;
+            boost::asio::post(socket_.get_executor(), [weak = weak_from_this()] {
+                if (const std::shared_ptr<line_stream> self = weak.lock()) {
+                    self->awaits_turn_ = false;
+                    self->continue_input();
+                }
+            });
+            break;
         }
+        const std::string_view line = bytes.substr(start, end - start);
         if (line.size() > max_line_bytes) {
-            close_and_report(stream_end::too_large);
-            return false;
+            report_too_large();
+            break;
+        }
+        ++lines;
+        start = end + 1;
+        on_line_(line.substr(0, line.size() - 1));
+        if (ended_ || closing_) {
+            break;
+        }
+    }
+    if (!ended_ && must_pause()) {
+        input_paused_ = true;
+    }
+    // If a complete line is left, the search begins at its start again.
+    scanned_ = 0;
+    return start;
+}
+
+void line_stream::continue_input() {
+    if (ended_ || closing_ || input_paused_ || awaits_turn_ || input_held_) {
+        if (closing_ && !ended_) {
+            wait_readable();
         }
-        line.remove_suffix(1);
-        on_line_(line);
+        return;
     }
-    if (partial_.size() > max_line_bytes) {
+    if (process_input({})) {
+        read_available();
+    }
+}
+
+void line_stream::report_too_large() {
+    if (!on_too_large_) {
         close_and_report(stream_end::too_large);
-        return false;
+        return;
+    }
+    on_too_large_();
+    if (!closing_ && !ended_) {
+        close();
+    }
+}
+
+void line_stream::discard_input() {
+    if (!delivering_) {
+        input_ = {};
+        scanned_ = 0;
     }
-    return true;
 }
 
 void line_stream::flush() {
@@ -149,8 +259,12 @@
     }
     while (unsent_bytes() > 0) {
         boost::system::error_code error;
-        sent_ +=
+        const std::size_t written =
             socket_.write_some(boost::asio::buffer(output_.data() + sent_, unsent_bytes()), error);
+        sent_ += written;
+        if (written > 0) {
+            sent_at_ = clock::now();
+        }
         if (error == boost::asio::error::would_block) {
             break;
         }
@@ -168,7 +282,7 @@
         wait_writable();
     } else if (closing_) {
         linger();
-    } else if (output_.capacity() > internal::read_buffer_bytes) {
+    } else if (output_.capacity() > read_bytes) {
         output_.shrink_to_fit();
     }
     post_update();
@@ -176,7 +290,7 @@
 
 void line_stream::discard_output() {
     failed_ = true;
-    output_.clear();
+    output_ = {};
     sent_ = 0;
     boost::system::error_code ignored;
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
@@ -216,12 +330,9 @@
     if (ended_ || !input_paused_ || must_pause()) {
         return;
     }
-    const std::string undelivered = std::exchange(partial_, {});
-    if (!deliver_lines(undelivered) || ended_ || must_pause()) {
-        return;
-    }
     input_paused_ = false;
-    read_available();
+    received_at_ = clock::now();
+    continue_input();
 }
 
 bool line_stream::must_pause() const {
@@ -234,6 +345,7 @@
         return;
     }
     writing_ = true;
+    sent_at_ = clock::now();
     socket_.async_wait(boost::asio::ip::tcp::socket::wait_write,
                        [self = shared_from_this()](const boost::system::error_code& error) {
                            self->writing_ = false;
@@ -245,7 +357,14 @@
 
 void line_stream::close() {
     closing_ = true;
+    discard_input();
     flush();
+    if ((input_paused_ || input_held_) && !ended_ && !delivering_) {
+        // What the peer still sends must be read, so that its connection is not reset.
+        input_paused_ = false;
+        input_held_ = false;
+        wait_readable();
+    }
 }
 
 void line_stream::linger() {
@@ -270,6 +389,7 @@
 
 void line_stream::abort() {
     ended_ = true;
+    discard_input();
     linger_timer_.reset();
     boost::system::error_code ignored;
     socket_.close(ignored);
