--- a/packages/gateway/src/target_connections.cpp
+++ b/packages/gateway/src/target_connections.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace lovagemoor::gateway {
@@ -28,8 +29,12 @@
 } // namespace internal
 
 target_connections::target_connections(boost::asio::io_context& context, std::string host,
-                                       statement_codec codec, event_sink sink)
-    : context_{context}, host_{std::move(host)}, codec_{std::move(codec)}, sink_{std::move(sink)} {}
+                                       statement_codec codec, event_sink sink, answer_limits limits)
+    : context_{context},
+      host_{std::move(host)},
+      codec_{std::move(codec)},
+      sink_{std::move(sink)},
+      limits_{limits} {}
 
 void target_connections::perform(const proxy::open_target& action) {
     connection& opened = connections_[action.connection];
@@ -94,6 +99,7 @@
     connection& source = found->second;
     switch (codec_.decode_target_line(line, source.assembly)) {
     case reply_progress::incomplete:
+        add_row(source, line.size());
         if (!source.started && source.assembly.reply.result.error.has_value()) {
             close_and_report(id, internal::close_reason(*source.assembly.reply.result.error));
         }
@@ -108,7 +114,16 @@
         close_and_report(id, proxy::target_close_reason::malformed);
         return;
     }
+    answer_bytes_ -= std::exchange(source.answer_bytes, 0);
     proxy::target_reply reply = std::exchange(source.assembly, {}).reply;
+    if (std::exchange(source.too_large, false)) {
+        reply.result.rows.clear();
+        if (!reply.result.error.has_value()) {
+            reply.result.error =
+                proxy::statement_error{proxy::statement_error_kind::too_large,
+                                       "the answer is too large for this host", std::nullopt};
+        }
+    }
     if (!source.started) {
         on_started(id, reply.result);
         return;
@@ -116,6 +131,32 @@
     sink_(proxy::target_replied{id, std::move(reply)});
 }
 
+void target_connections::add_row(connection& source, std::size_t bytes) {
+    if (source.too_large) {
+        source.assembly.reply.result.rows.clear();
+        return;
+    }
+    const std::size_t held = sizeof(std::string) + bytes;
+    source.answer_bytes += held;
+    answer_bytes_ += held;
+    if (source.answer_bytes > limits_.answer_bytes) {
+        drop_rows(source);
+    } else if (limits_.total_bytes > 0 && answer_bytes_ > limits_.total_bytes) {
+        const auto largest = std::max_element(
+            connections_.begin(), connections_.end(), [](const auto& left, const auto& right) {
+                return left.second.answer_bytes < right.second.answer_bytes;
+            });
+        drop_rows(largest->second);
+    }
+}
+
+void target_connections::drop_rows(connection& source) {
+    source.too_large = true;
+    // The capacity is given back as well.
+    source.assembly.reply.result.rows = {};
+    answer_bytes_ -= std::exchange(source.answer_bytes, 0);
+}
+
 void target_connections::on_started(core::connection_id id, const proxy::statement_result& result) {
     connection& opened = connections_.at(id);
     opened.started = true;
@@ -149,6 +190,7 @@
     if (found->second.timer != nullptr) {
         found->second.timer->cancel();
     }
+    answer_bytes_ -= found->second.answer_bytes;
     connections_.erase(found);
 }
 
