Add settings for the limits on callers

Share of the memory, reserve of descriptors, times without progress and the largest answer, each with a range and a default that no caller inside the protocol's limits meets. The connections to targets report the rows that they hold and what a complete answer takes in addition.

--- a/packages/gateway/include/lovagemoor/gateway/target_connections.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/target_connections.hpp
@@ -36,8 +36,13 @@
     target_connections(boost::asio::io_context& context, std::string host, statement_codec codec,
                        event_sink sink, answer_limits limits = {});
 
-    /// @return Bytes of the rows of all incomplete answers.
-    [[nodiscard]] std::size_t answer_bytes() const noexcept { return answer_bytes_; }
+    /// @param on_rows Told the size of each row that is kept.
+    void set_row_observer(std::function<void(std::size_t)> on_rows);
+
+    /// @return Bytes that the incomplete answers take, and those that the largest one takes in
+    /// addition once it is complete: it is copied when it is passed on, and again when it is
+    /// encoded.
+    [[nodiscard]] std::size_t required_bytes() const;
 
     void perform(const proxy::open_target& action);
     void perform(const proxy::send_commands& action);
@@ -76,6 +81,7 @@
     statement_codec codec_;
     event_sink sink_;
     answer_limits limits_;
+    std::function<void(std::size_t)> on_rows_;
     std::size_t answer_bytes_ = 0;
     std::map<core::connection_id, connection> connections_;
     std::set<core::connection_id> unflushed_;
--- a/packages/gateway/src/target_connections.cpp
+++ b/packages/gateway/src/target_connections.cpp
@@ -131,6 +131,19 @@
     sink_(proxy::target_replied{id, std::move(reply)});
 }
 
+void target_connections::set_row_observer(std::function<void(std::size_t)> on_rows) {
+    on_rows_ = std::move(on_rows);
+}
+
+std::size_t target_connections::required_bytes() const {
+    constexpr std::size_t copies = 2;
+    std::size_t largest = 0;
+    for (const auto& [id, source] : connections_) {
+        largest = std::max(largest, source.answer_bytes);
+    }
+    return answer_bytes_ + copies * largest;
+}
+
 void target_connections::add_row(connection& source, std::size_t bytes) {
     if (source.too_large) {
         source.assembly.reply.result.rows.clear();
@@ -139,6 +152,9 @@
     const std::size_t held = sizeof(std::string) + bytes;
     source.answer_bytes += held;
     answer_bytes_ += held;
+    if (on_rows_) {
+        on_rows_(held);
+    }
     if (source.answer_bytes > limits_.answer_bytes) {
         drop_rows(source);
     } else if (limits_.total_bytes > 0 && answer_bytes_ > limits_.total_bytes) {
--- a/packages/settings/include/lovagemoor/settings/session_settings.hpp
+++ b/packages/settings/include/lovagemoor/settings/session_settings.hpp
@@ -65,6 +65,21 @@
     /// Number of operations by which a quota may be exceeded in a window.
     double quota_slack = 0;
     /// @}
+    /// @name Limits on callers
+    /// @{
+    /// Percentage of memory_mb that may be held for callers; 0 for no limit.
+    std::size_t caller_memory_percent = 50;
+    /// File descriptors that callers leave to targets, the registry, other hosts and probes.
+    std::size_t reserved_descriptors = 200;
+    /// Time without progress after which a connection without a complete first line is closed.
+    std::chrono::milliseconds start_timeout{30'000};
+    /// Time without progress after which a connection with an incomplete message is closed.
+    std::chrono::milliseconds message_timeout{30'000};
+    /// Time without progress after which a connection with unread answers is closed.
+    std::chrono::milliseconds answer_timeout{30'000};
+    /// Largest answer of a target that is passed on, in MB.
+    std::size_t max_answer_mb = 64;
+    /// @}
     core::log_event::level log_level = core::log_event::level::info;
 };
 
--- a/packages/settings/src/session_settings.cpp
+++ b/packages/settings/src/session_settings.cpp
@@ -80,6 +80,8 @@
 constexpr std::int64_t max_memory_mb = 1'000'000;
 constexpr std::int64_t max_descriptor_count = 10'000'000;
 constexpr double max_quota_slack = 1e6;
+/// The rest is needed by the process at rest, connections to targets and messages in progress.
+constexpr std::int64_t max_caller_memory_percent = 90;
 
 /// @}
 
@@ -171,6 +173,32 @@
                    "Fraction by which a quota may be exceeded in a window."),
         number_key("organisations", "quota_slack", max_quota_slack, &session_settings::quota_slack,
                    "Operations by which a quota may be exceeded in a window."),
+        range_key("callers", "memory_percent", "%",
+                  static_cast<std::int64_t>(initial.caller_memory_percent), 0,
+                  max_caller_memory_percent, &session_settings::caller_memory_percent,
+                  "Part of [host] memory_mb that may be held for callers; 0 for no limit."),
+        range_key("callers", "reserved_descriptors", "",
+                  static_cast<std::int64_t>(initial.reserved_descriptors), 16, 100'000,
+                  &session_settings::reserved_descriptors,
+                  "File descriptors that callers leave to targets, the registry, other hosts and "
+                  "probes; at most half of all."),
+        seconds_key("callers", "start_timeout_s", initial.start_timeout,
+                    &session_settings::start_timeout,
+                    "Time without progress after which a connection without a complete first line "
+                    "is closed."),
+        seconds_key("callers", "message_timeout_s", initial.message_timeout,
+                    &session_settings::message_timeout,
+                    "Time without progress after which a connection with an incomplete message is "
+                    "closed."),
+        seconds_key("callers", "answer_timeout_s", initial.answer_timeout,
+                    &session_settings::answer_timeout,
+                    "Time without progress after which a connection with unread answers is "
+                    "closed."),
+        range_key("callers", "max_answer_mb", "MB",
+                  static_cast<std::int64_t>(initial.max_answer_mb), 1, 1024,
+                  &session_settings::max_answer_mb,
+                  "Largest answer of a target that is passed on; at most a quarter of the memory "
+                  "for callers."),
         text_key<session_settings>({"log", "level", "debug, info, warning or error", "", "", "info",
                                     false, "Lowest level of events that are logged."},
                                    parse_level,
--- a/packages/settings/test/session_settings_test.cpp
+++ b/packages/settings/test/session_settings_test.cpp
@@ -55,6 +55,21 @@
     {"two numbers", "3 4", false},
 };
 
+const std::vector<setting_case> caller_limits{
+    {"defaults", "", true},
+    {"no limit on memory", "memory_percent = 0", true},
+    {"all memory", "memory_percent = 100", false},
+    {"a negative share", "memory_percent = -1", false},
+    {"too small a reserve", "reserved_descriptors = 15", false},
+    {"a reserve", "reserved_descriptors = 16", true},
+    {"a start timeout", "start_timeout_s = 0.5", true},
+    {"no start timeout", "start_timeout_s = 0", false},
+    {"a message timeout that is no number", "message_timeout_s = nan", false},
+    {"an answer timeout above the limit", "answer_timeout_s = 61", false},
+    {"no answers", "max_answer_mb = 0", false},
+    {"an unknown key", "memory_mb = 5", false},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(session_settings)
@@ -87,4 +102,18 @@
     BOOST_TEST(parsed.has_value() == sample.valid);
 }
 
+// Guards against limits on callers that leave nothing to them, or nothing to the rest of the host.
+BOOST_DATA_TEST_CASE(caller_limits_are_in_range, boost::unit_test::data::make(caller_limits)) {
+    std::istringstream input{"[host]\nid = h1\nfailure_domain = a\n"
+                             "caller_listen = 127.0.0.1:7401\n"
+                             "ready_listen = 127.0.0.1:7402\n"
+                             "[callers]\n" +
+                             sample.text +
+                             "\n[registry]\n"
+                             "address = 127.0.0.1:2379\n"};
+    const settings::result<settings::session_settings> parsed =
+        settings::parse_session_settings(input, "test.ini");
+    BOOST_TEST(parsed.has_value() == sample.valid);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
