Keep callers within the memory and the descriptors of the machine

The listener accounts for what each caller holds, reads from none beyond the memory for callers, closes callers without progress or that have to give way, keeps descriptors in reserve, and answers a message over the limit with TOOLARGE. Each kind of closure is counted, and logged at most once in 5 s.

--- a/packages/gateway/test/accept_test.cpp
+++ b/packages/gateway/test/accept_test.cpp
@@ -84,7 +84,7 @@
         port = free.local_endpoint().port();
     }
     const caller_listener listener{
-        context, "127.0.0.1:" + std::to_string(port), 10, {}, [](const proxy::event& /*event*/) {}};
+        context, "127.0.0.1:" + std::to_string(port), caller_limits{.max_sessions = 10}, {}, [](const proxy::event& /*event*/) {}};
     boost::asio::io_context client_context;
     tcp::socket client{client_context};
     BOOST_TEST(handlers_without_descriptors(context, client, port) < max_handlers);
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -6,6 +6,9 @@
 #include <lovagemoor/platform_adapter/statement_protocol.hpp>
 #include <lovagemoor/proxy/registry/restoration_delay.hpp>
 
+#include <malloc.h>
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <csignal>
 #include <ctime>
@@ -82,6 +85,85 @@
     return result;
 }
 
+/// Part of the descriptors for callers that is always left to them, also with a large reserve.
+constexpr std::size_t min_caller_divisor = 2;
+
+/// Part of the reserve that each of the two HTTP ports may use, and its bounds.
+constexpr std::size_t http_reserve_divisor = 8;
+constexpr std::size_t min_http_connections = 4;
+constexpr std::size_t max_http_connections = 32;
+
+/// Parts of the memory for callers that one answer, and all incomplete answers, may take. An answer
+/// is copied when it is encoded.
+constexpr std::size_t answer_divisor = 4;
+constexpr std::size_t all_answers_divisor = 2;
+
+/// Headers and bodies of probes are far smaller.
+constexpr std::size_t max_probe_bytes = std::size_t{8} * 1024;
+
+/// Probes come once a second, scrapes once a minute and over connections that may be opened again.
+constexpr std::chrono::seconds http_idle_timeout{10};
+
+/// @return Number of descriptors that this process may use; 0 for no limit.
+std::size_t descriptor_limit(const settings::session_settings& settings) {
+    rlimit process{};
+    if (::getrlimit(RLIMIT_NOFILE, &process) != 0 || process.rlim_cur == RLIM_INFINITY) {
+        return settings.max_descriptors;
+    }
+    const std::size_t allowed = process.rlim_cur;
+    return settings.max_descriptors == 0 ? allowed : std::min(settings.max_descriptors, allowed);
+}
+
+std::size_t reserved_descriptors(const settings::session_settings& settings) {
+    const std::size_t limit = descriptor_limit(settings);
+    return limit == 0 ? settings.reserved_descriptors
+                      : std::min(settings.reserved_descriptors, limit / min_caller_divisor);
+}
+
+std::size_t caller_memory_bytes(const settings::session_settings& settings) {
+    return (settings.memory_mb << 20U) / 100 * settings.caller_memory_percent;
+}
+
+gateway::caller_limits caller_limits_from(const settings::session_settings& settings) {
+    gateway::caller_limits limits;
+    const std::size_t descriptors = descriptor_limit(settings);
+    limits.max_sessions = descriptors == 0 ? settings.max_sessions
+                                           : std::min(settings.max_sessions,
+                                                      descriptors - reserved_descriptors(settings));
+    limits.start_timeout = settings.start_timeout;
+    limits.message_timeout = settings.message_timeout;
+    limits.answer_timeout = settings.answer_timeout;
+    limits.memory.total_bytes = caller_memory_bytes(settings);
+    return limits;
+}
+
+gateway::answer_limits answer_limits_from(const settings::session_settings& settings) {
+    gateway::answer_limits limits{.answer_bytes = settings.max_answer_mb << 20U};
+    const std::size_t memory = caller_memory_bytes(settings);
+    if (memory > 0) {
+        limits.answer_bytes = std::min(limits.answer_bytes, memory / answer_divisor);
+        limits.total_bytes = memory / all_answers_divisor;
+    }
+    return limits;
+}
+
+/// @brief Makes the allocator return large blocks to the system as soon as they are freed. By
+/// default, it raises its threshold up to 32 MB with the first of them, and buffers that grow side
+/// by side then leave holes in the heap.
+void return_freed_memory() {
+    constexpr int threshold_bytes = 64 * 1024;
+    ::mallopt(M_MMAP_THRESHOLD, threshold_bytes);
+    ::mallopt(M_TRIM_THRESHOLD, threshold_bytes);
+}
+
+gateway::http_server::limits http_limits_from(const settings::session_settings& settings) {
+    return {.header_bytes = max_probe_bytes,
+            .body_bytes = max_probe_bytes,
+            .connections = std::clamp(reserved_descriptors(settings) / http_reserve_divisor,
+                                      min_http_connections, max_http_connections),
+            .idle_timeout = http_idle_timeout};
+}
+
 std::shared_ptr<proxy::registry_follower> make_follower(std::string_view prefix,
                                                         proxy::follower_settings settings) {
     return std::make_shared<proxy::registry_follower>(std::string{prefix}, settings);
@@ -96,14 +178,16 @@
       settings_file_{std::move(settings_file)},
       logger_{settings.id, settings.log_level, std::cout},
       engine_{internal::engine_settings_from(settings)},
-      callers_{context_, settings.caller_listen, settings.max_sessions,
+      callers_{context_, settings.caller_listen, internal::caller_limits_from(settings),
                platform_adapter::make_statement_codec(),
                [this](const proxy::event& input) { handle(input); }},
       targets_{context_, settings.id.value, platform_adapter::make_statement_codec(),
-               [this](const proxy::event& input) { handle(input); }},
+               [this](const proxy::event& input) { handle(input); },
+               internal::answer_limits_from(settings)},
       ready_server_{
           context_, settings.ready_listen,
-          [this](const gateway::http_server::request& request) { return answer_request(request); }},
+          [this](const gateway::http_server::request& request) { return answer_request(request); },
+          internal::http_limits_from(settings)},
       registry_client_{context_, settings.registry_address, settings.call_timeout},
       configuration_follower_{internal::make_follower(
           platform_adapter::configuration_key, {.watch_pause = internal::configuration_watch_pause,
@@ -120,6 +204,11 @@
       engine_timer_{context_},
       registry_timer_{context_},
       signals_{context_, SIGTERM, SIGINT, SIGHUP} {
+    if (settings.memory_mb > 0) {
+        internal::return_freed_memory();
+    }
+    callers_.set_accounting(make_caller_accounting());
+    targets_.set_row_observer([this](std::size_t bytes) { callers_.add_memory(bytes); });
     registry_client_.set_answer_filter(
         [this](const std::optional<proxy::registry_era>& era) { return accept_answer(era); });
     if (settings.key_withdrawal.count() > 0) {
@@ -127,10 +216,12 @@
                                      settings.key_withdrawal / internal::proofs_per_withdrawal);
     }
     if (!settings.metrics_listen.empty()) {
-        metrics_server_.emplace(context_, settings.metrics_listen,
-                                [this](const gateway::http_server::request& request) {
-                                    return answer_request(request);
-                                });
+        metrics_server_.emplace(
+            context_, settings.metrics_listen,
+            [this](const gateway::http_server::request& request) {
+                return answer_request(request);
+            },
+            internal::http_limits_from(settings));
     }
     if (!settings.promotion_address.empty()) {
         promotion_client_.emplace(context_, settings.promotion_address, settings.id.value,
@@ -891,6 +982,21 @@
                            });
 }
 
+gateway::caller_accounting session_host::make_caller_accounting() {
+    return {.memory_of = [this](proxy::session_id id) { return engine_.memory_of(id); },
+            .shared_bytes = [this] { return targets_.required_bytes(); },
+            .on_closed = [this](gateway::caller_close_reason reason) { on_caller_closed(reason); }};
+}
+
+void session_host::on_caller_closed(gateway::caller_close_reason reason) {
+    const std::string name = gateway::to_string(reason);
+    metrics_.perform(core::count_metric{"lovagemoor_callers_closed_total", {{"reason", name}}});
+    if (const std::optional<std::uint64_t> callers = caller_closes_.add(internal::now(), name)) {
+        log(core::log_event::level::warning, "callers_closed",
+            {{"reason", name}, {"callers", std::to_string(*callers)}});
+    }
+}
+
 void session_host::log_rejected_item(const char* name, const proxy::registry_item& item) {
     log(core::log_event::level::warning, name,
         {{"key", item.key}, {"revision", std::to_string(item.revision)}});
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "burst_counter.hpp"
+
 #include <lovagemoor/gateway/caller_listener.hpp>
 #include <lovagemoor/gateway/http_server.hpp>
 #include <lovagemoor/gateway/target_connections.hpp>
@@ -94,6 +96,8 @@
     void poll_registry();
     [[nodiscard]] gateway::http_server::response
     answer_request(const gateway::http_server::request& request) const;
+    [[nodiscard]] gateway::caller_accounting make_caller_accounting();
+    void on_caller_closed(gateway::caller_close_reason reason);
     void log_rejected_item(const char* name, const proxy::registry_item& item);
     void log(core::log_event::level severity, const char* name,
              std::vector<std::pair<std::string, std::string>> fields);
@@ -125,6 +129,7 @@
     boost::asio::steady_timer engine_timer_;
     boost::asio::steady_timer registry_timer_;
     boost::asio::signal_set signals_;
+    burst_counter caller_closes_;
     bool ready_ = false;
     std::optional<core::time_point> stop_requested_at_;
     proxy::promotion_lock_claim lock_claim_;
