--- a/tests/process/uncontrolled_callers_test.cpp
+++ b/tests/process/uncontrolled_callers_test.cpp
@@ -23,6 +23,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <future>
 #include <iterator>
 #include <memory>
 #include <optional>
@@ -50,6 +51,8 @@
 struct machine {
     std::size_t memory_mb = 64;
     std::size_t max_descriptors = 400;
+    /// The limits on callers have their defaults. Otherwise, time limits are short.
+    bool default_limits = false;
 };
 
 /// A host whose memory is not at stake, but which has fewer descriptors than a crowd has members.
@@ -152,6 +155,10 @@
              << "\nmax_descriptors = " << limits_.max_descriptors
              << "\nstop_grace_s = 3\n[registry]\naddress = " << store_.address()
              << "\n[log]\nlevel = info\n";
+        if (!limits_.default_limits) {
+            file << "[callers]\nreserved_descriptors = 60\nstart_timeout_s = 1"
+                 << "\nmessage_timeout_s = 1\nanswer_timeout_s = 1\n";
+        }
     }
 
     machine limits_;
@@ -428,24 +435,25 @@
     {"one byte", few_descriptors, 200, 1, [] { return std::string{"S"}; }},
 };
 
-/// @brief A database that answers each statement with rows that do not end, and runs on a thread of
-/// the test.
-class endless_database {
+/// @brief A database that answers each read with many rows, and runs on a thread of the test.
+class large_database {
 public:
     /// @param part Sent again and again; without line breaks, it is a row without an end.
-    explicit endless_database(std::string part)
+    /// @param size Number of bytes after which the answer ends; 0 if it does not end.
+    explicit large_database(std::string part, std::size_t size = 0)
         : part_{std::move(part)},
+          size_{size},
           acceptor_{context_, {boost::asio::ip::make_address("127.0.0.1"), 0}} {
         accept();
         thread_ = std::thread{[this] { context_.run(); }};
     }
 
-    endless_database(const endless_database&) = delete;
-    endless_database& operator=(const endless_database&) = delete;
-    endless_database(endless_database&&) = delete;
-    endless_database& operator=(endless_database&&) = delete;
+    large_database(const large_database&) = delete;
+    large_database& operator=(const large_database&) = delete;
+    large_database(large_database&&) = delete;
+    large_database& operator=(large_database&&) = delete;
 
-    ~endless_database() {
+    ~large_database() {
         context_.stop();
         thread_.join();
     }
@@ -506,9 +514,17 @@
             });
     }
 
-    /// @brief Sends up to 200 MB of rows.
+    /// @brief Sends the rows of an answer, 200 MB at most.
     void write_rows(const std::shared_ptr<session>& client, std::size_t sent) {
         constexpr std::size_t most = 200'000'000;
+        if (size_ > 0 && sent >= size_) {
+            boost::system::error_code ignored;
+            boost::asio::write(
+                client->socket,
+                boost::asio::buffer(std::string{"COMPLETE signed\r\nREADY I 1.1\r\n"}), ignored);
+            read(client);
+            return;
+        }
         if (sent >= most) {
             return;
         }
@@ -523,12 +539,80 @@
     }
 
     const std::string part_;
+    const std::size_t size_;
     std::atomic<std::size_t> sent_{0};
     boost::asio::io_context context_;
     tcp::acceptor acceptor_;
     std::thread thread_;
 };
 
+/// @brief Sends bytes ahead and reads slowly, in steps of 64 KB.
+/// @param done Given what was received so far; true ends the exchange.
+/// @return What was received until then, until the host closed the connection, or in 25 s.
+std::string exchange(std::uint16_t port, const std::string& bytes,
+                     const std::function<bool(const std::string&)>& done) {
+    boost::asio::io_context context;
+    tcp::socket socket{context};
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    socket.non_blocking(true);
+    const auto end = std::chrono::steady_clock::now() + 25s;
+    std::size_t sent = 0;
+    std::string received;
+    std::vector<char> step(std::size_t{64} * 1024);
+    while (!done(received) && std::chrono::steady_clock::now() < end) {
+        boost::system::error_code error;
+        if (sent < bytes.size()) {
+            sent += socket.write_some(boost::asio::buffer(bytes.data() + sent, bytes.size() - sent),
+                                      error);
+        }
+        const std::size_t size = socket.read_some(boost::asio::buffer(step), error);
+        received.append(step.data(), size);
+        if (error && error != boost::asio::error::would_block) {
+            break;
+        }
+        std::this_thread::sleep_for(1ms);
+    }
+    return received;
+}
+
+/// @return Everything that the host sends before it closes the connection.
+std::string answers_to(std::uint16_t port, const std::string& bytes) {
+    return exchange(port, bytes, [](const std::string& /*received*/) { return false; });
+}
+
+/// @return Number of successful answers, at most one for each statement.
+std::size_t answers_to_slow_caller(std::uint16_t port, const std::string& bytes,
+                                   std::size_t statements) {
+    std::size_t answers = 0;
+    std::size_t searched = 0;
+    // The greeting is one READY more.
+    std::size_t endings = 0;
+    static_cast<void>(exchange(port, bytes, [&](const std::string& received) {
+        for (std::size_t end = received.find("\r\n", searched); end != std::string::npos;
+             end = received.find("\r\n", searched)) {
+            const std::string_view line{received.data() + searched, end - searched};
+            answers += line.starts_with("COMPLETE") ? 1U : 0U;
+            endings += line.starts_with("READY") ? 1U : 0U;
+            searched = end + 2;
+        }
+        return endings == statements + 1;
+    }));
+    return answers;
+}
+
+/// @brief Makes the database the only target, and reads until it has answered.
+void use_instead(running_host& host, const large_database& database, crowd_check& check) {
+    host.put("servers/i-1", "{}");
+    host.put("servers/i-2", running_host::target_entry(database.address()));
+    // Until the host has learned of the change, the first target answers.
+    crowd readers{host.caller_port(), 4};
+    readers.send(startup, large_piece, check);
+    for (int round = 0; round < 16 && database.sent() == 0; ++round) {
+        readers.send("QUERY 1 READ kit-1\r\n", large_piece, check);
+        check.wait(500ms);
+    }
+}
+
 } // namespace
 
 // Guards against callers that exhaust the memory or the descriptors of a host, or keep it from
@@ -544,15 +628,19 @@
 }
 
 // Guards against large answers that wait in the memory of the host because their callers do not
-// read them.
+// read them. The kernel drops a caller that reads nothing at all after about 2.5 s.
 BOOST_AUTO_TEST_CASE(a_crowd_that_reads_no_large_answers) {
+    large_database large{repeated("DATAROW " + std::string(1'000, 'x') + "\r\n", 1'000), 6'000'000};
     running_host host{{}};
-    caller_session writer{host.caller_port()};
-    BOOST_REQUIRE(writer.served());
-    BOOST_REQUIRE(writer.execute("WRITE kit-1 " + std::string(900'000, 'x')) == "COMPLETE signed");
+    BOOST_REQUIRE(caller_session{host.caller_port()}.served());
     crowd_check check{host};
-    crowd callers{host.caller_port(), 60};
-    callers.send(std::string{startup} + repeated("QUERY 1 READ kit-1\r\n", 8), large_piece, check);
+    use_instead(host, large, check);
+    crowd callers{host.caller_port(), 16};
+    callers.send(std::string{startup} + repeated("QUERY 1 READ kit-1\r\n", 4), large_piece, check);
+    check.wait(2s);
+    BOOST_TEST(large.sent() > 12'000'000U);
+    host.put("servers/i-2", "{}");
+    host.put("servers/i-1", running_host::target_entry(host.database_address()));
     check.finish("large answers that are not read");
 }
 
@@ -560,19 +648,11 @@
 // without an end.
 BOOST_DATA_TEST_CASE(a_target_whose_answer_does_not_end,
                      boost::unit_test::data::make({"DATAROW row\r\n", "DATAROW row "}), part) {
-    endless_database endless{repeated(part, 5'000)};
+    large_database endless{repeated(part, 5'000)};
     running_host host{{}};
     BOOST_REQUIRE(caller_session{host.caller_port()}.served());
     crowd_check check{host};
-    host.put("servers/i-1", "{}");
-    host.put("servers/i-2", running_host::target_entry(endless.address()));
-    // Until the host has learned of the change, the first target answers.
-    crowd callers{host.caller_port(), 4};
-    callers.send(startup, large_piece, check);
-    for (int round = 0; round < 16 && endless.sent() == 0; ++round) {
-        callers.send("QUERY 1 READ kit-1\r\n", large_piece, check);
-        check.wait(500ms);
-    }
+    use_instead(host, endless, check);
     check.wait(1s);
     BOOST_TEST(endless.sent() > 1'000'000U);
     host.put("servers/i-2", "{}");
@@ -580,6 +660,45 @@
     check.finish("an answer without an end");
 }
 
+// Guards against limits that close or refuse callers which keep to the protocol: each sends 32
+// statements ahead, with messages of almost 1 MiB, and reads large answers slowly. The host is the
+// smallest of the reference deployments, with the defaults.
+BOOST_AUTO_TEST_CASE(legal_callers_are_served) {
+    running_host host{{.memory_mb = 112, .max_descriptors = 3010, .default_limits = true}};
+    BOOST_REQUIRE(caller_session{host.caller_port()}.served());
+    constexpr std::size_t statements = 32;
+    std::vector<std::future<std::size_t>> callers;
+    for (int index = 0; index < 4; ++index) {
+        std::string bytes{startup};
+        for (std::size_t statement = 0; statement < statements; ++statement) {
+            const std::string id = "QUERY q" + std::to_string(statement);
+            const std::string item = " kit-" + std::to_string(index);
+            bytes += statement % 2 == 0
+                         ? id + " WRITE" + item + " " + std::string(1'048'000, 'x') + "\r\n"
+                         : id + " READ" + item + "\r\n";
+        }
+        callers.push_back(std::async(std::launch::async, [&host, bytes] {
+            return answers_to_slow_caller(host.caller_port(), bytes, statements);
+        }));
+    }
+    for (std::future<std::size_t>& caller : callers) {
+        BOOST_TEST(caller.get() == statements);
+    }
+    BOOST_TEST(host.alive());
+    BOOST_TEST_MESSAGE("legal callers: peak memory " << host.peak_memory_kb() << " kB");
+    BOOST_TEST(host.peak_memory_kb() <= host.limits().memory_mb * 1024);
+}
+
+// Guards against a message over the limit that ends without a word: its caller learns the reason,
+// also while it still sends the rest.
+BOOST_AUTO_TEST_CASE(a_message_over_the_limit_gets_an_error) {
+    running_host host{{}};
+    BOOST_REQUIRE(caller_session{host.caller_port()}.served());
+    const std::string answers =
+        answers_to(host.caller_port(), std::string{startup} + repeated(large_message(), 2));
+    BOOST_TEST(answers.starts_with("READY I -\r\nERROR TOOLARGE "));
+}
+
 // Guards against a crowd on the ports for probes and metrics that takes all descriptors, and keeps
 // the load balancer or the operators from an answer.
 BOOST_DATA_TEST_CASE(a_crowd_on_an_http_port,
