Free the buffers of streams when they are emptied

An assignment of an empty string or vector keeps the capacity, so that a connection held up to 1 MiB after a large message and while it was being closed, which no account showed.

--- a/packages/gateway/src/line_stream.cpp
+++ b/packages/gateway/src/line_stream.cpp
@@ -23,6 +23,11 @@
 /// Time after which a connection whose sent bytes are not acknowledged is closed.
 constexpr unsigned user_timeout_ms = 2500;
 
+/// @brief Empties a buffer and frees its memory, which an assignment would keep.
+void release(std::string& buffer) {
+    std::string{}.swap(buffer);
+}
+
 /// @return The time since then in whole milliseconds.
 std::chrono::milliseconds elapsed_since(std::chrono::steady_clock::time_point then) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() -
@@ -161,7 +166,7 @@
         input_.erase(0, delivered);
     }
     if (input_.empty() && input_.capacity() > read_bytes) {
-        input_ = {};
+        internal::release(input_);
     }
     if (awaits_turn_ || input_paused_) {
         return false;
@@ -244,7 +249,7 @@
 
 void line_stream::discard_input() {
     if (!delivering_) {
-        input_ = {};
+        internal::release(input_);
         scanned_ = 0;
     }
 }
@@ -290,7 +295,7 @@
 
 void line_stream::discard_output() {
     failed_ = true;
-    output_ = {};
+    internal::release(output_);
     sent_ = 0;
     boost::system::error_code ignored;
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
--- a/packages/gateway/src/target_connections.cpp
+++ b/packages/gateway/src/target_connections.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace lovagemoor::gateway {
 
@@ -168,8 +169,8 @@
 
 void target_connections::drop_rows(connection& source) {
     source.too_large = true;
-    // The capacity is given back as well.
-    source.assembly.reply.result.rows = {};
+    // An assignment would keep the capacity.
+    std::vector<std::string>{}.swap(source.assembly.reply.result.rows);
     answer_bytes_ -= std::exchange(source.answer_bytes, 0);
 }
 
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -151,7 +151,8 @@
 /// default, it raises its threshold up to 32 MB with the first of them, and buffers that grow side
 /// by side then leave holes in the heap.
 void return_freed_memory() {
-    constexpr int threshold_bytes = 64 * 1024;
+    // One read of a line_stream, so that no incomplete message takes a part of the heap.
+    constexpr int threshold_bytes = static_cast<int>(gateway::line_stream::read_bytes);
     ::mallopt(M_MMAP_THRESHOLD, threshold_bytes);
     ::mallopt(M_TRIM_THRESHOLD, threshold_bytes);
 }
