--- a/packages/gateway/include/lovagemoor/gateway/caller_listener.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/caller_listener.hpp
@@ -37,7 +37,7 @@
     /// From the last time that the caller took a part of its answers.
     std::chrono::milliseconds answer_timeout{30'000};
     /// @}
-    proxy::memory_limits memory;
+    proxy::memory_limits memory{};
     /// With a limit on memory, a caller whose unfinished statements take more is not read until
     /// some are finished.
     std::size_t max_waiting_bytes = std::size_t{2} << 20U;
--- a/packages/gateway/test/accept_test.cpp
+++ b/packages/gateway/test/accept_test.cpp
@@ -83,8 +83,11 @@
         const tcp::acceptor free{context, {boost::asio::ip::make_address("127.0.0.1"), 0}};
         port = free.local_endpoint().port();
     }
-    const caller_listener listener{
-        context, "127.0.0.1:" + std::to_string(port), caller_limits{.max_sessions = 10}, {}, [](const proxy::event& /*event*/) {}};
+    const caller_listener listener{context,
+                                   "127.0.0.1:" + std::to_string(port),
+                                   caller_limits{.max_sessions = 10},
+                                   {},
+                                   [](const proxy::event& /*event*/) {}};
     boost::asio::io_context client_context;
     tcp::socket client{client_context};
     BOOST_TEST(handlers_without_descriptors(context, client, port) < max_handlers);
