--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "burst_counter.hpp"
 #include "connection_lending.hpp"
 #include "link_router.hpp"
 #include "registry_relay.hpp"
@@ -114,6 +115,8 @@
     void poll_registry();
     [[nodiscard]] gateway::http_server::response
     answer_request(const gateway::http_server::request& request) const;
+    [[nodiscard]] gateway::caller_accounting make_caller_accounting();
+    void on_caller_closed(gateway::caller_close_reason reason);
     void log_rejected_item(const char* name, const proxy::registry_item& item);
     void log(core::log_event::level severity, const char* name,
              std::vector<std::pair<std::string, std::string>> fields);
@@ -150,6 +153,7 @@
     boost::asio::steady_timer engine_timer_;
     boost::asio::steady_timer registry_timer_;
     boost::asio::signal_set signals_;
+    burst_counter caller_closes_;
     bool ready_ = false;
     core::time_point started_at_;
     bool hosts_polls_slowed_ = false;
