--- a/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
@@ -4,6 +4,7 @@
 #include <lovagemoor/core/telemetry_event.hpp>
 #include <lovagemoor/proxy/engine/event.hpp>
 #include <lovagemoor/proxy/promotion/promotion_token.hpp>
+#include <lovagemoor/proxy/quota/quota_client.hpp>
 #include <lovagemoor/proxy/session/statement_result.hpp>
 #include <lovagemoor/proxy/target/target_command.hpp>
 
@@ -123,6 +124,12 @@
 
 /// @}
 
+/// @brief Asks the owner of a quota slot for tokens. Answered by quota_answered or
+/// quota_owner_unreachable.
+struct request_quota {
+    quota_request request;
+};
+
 /// @brief Tells the load balancer whether this host accepts new sessions.
 struct set_ready {
     bool ready = false;
@@ -135,7 +142,7 @@
     std::variant<accept_session, reject_session, answer_statement, close_session, open_target,
                  send_commands, close_target, publish_suspicion, withdraw_suspicion,
                  follow_promotions, acquire_promotion_lock, publish_demotion, restore_demotion,
-                 list_demotions, contact_registry, promote_target, set_ready, stop_process,
+                 list_demotions, contact_registry, promote_target, request_quota, set_ready, stop_process,
                  core::log_event, core::count_metric, core::observe_duration>;
 
 using action_list = std::vector<action>;
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -3,6 +3,8 @@
 #include <lovagemoor/core/ids.hpp>
 #include <lovagemoor/proxy/link/link_peer.hpp>
 #include <lovagemoor/proxy/promotion/promotion_token.hpp>
+#include <lovagemoor/proxy/quota/quota_client.hpp>
+#include <lovagemoor/proxy/quota/quota_floor.hpp>
 #include <lovagemoor/proxy/registry/configuration.hpp>
 #include <lovagemoor/proxy/registry/registry_call.hpp>
 #include <lovagemoor/proxy/registry/target_record.hpp>
@@ -259,6 +261,28 @@
 
 /// @}
 
+/// @name Quotas
+/// @{
+
+/// @brief The owner of a slot answered request_quota.
+struct quota_answered {
+    quota_grant grant;
+};
+
+/// @brief The owner of a slot is not known or cannot be reached.
+struct quota_owner_unreachable {
+    /// Number of the request.
+    std::uint64_t number = 0;
+};
+
+/// @brief The number of hosts among which the floor is divided, or the time up to which this host
+/// may use its part, has changed.
+struct quota_floor_changed {
+    quota_floor floor;
+};
+
+/// @}
+
 /// @brief The process was asked to stop.
 struct stop_requested {};
 
@@ -272,6 +296,7 @@
     suspicion_reported, suspicion_withdrawn, suspicion_publish_failed, suspicion_withdrawal_failed,
     promotion_lock_answered, promotion_lock_taken, promotion_lock_released, promotion_answered,
     demotion_announced, demotions_listed, demotion_publish_answered, demotion_restore_answered,
-    registry_contacted, registry_reachable, registry_restored, stop_requested, timer_expired>;
+    registry_contacted, registry_reachable, registry_restored, quota_answered,
+    quota_owner_unreachable, quota_floor_changed, stop_requested, timer_expired>;
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -9,6 +9,7 @@
 #include <lovagemoor/proxy/pool/connection_share.hpp>
 #include <lovagemoor/proxy/pool/target_pool.hpp>
 #include <lovagemoor/proxy/promotion/failover_coordinator.hpp>
+#include <lovagemoor/proxy/quota/quota_client.hpp>
 #include <lovagemoor/proxy/registry/copied_entries.hpp>
 #include <lovagemoor/proxy/registry/departed_targets.hpp>
 #include <lovagemoor/proxy/routing/primary_checks.hpp>
@@ -136,6 +137,9 @@
     void on(const registry_restored& input);
     void on(const demotion_publish_answered& input);
     void on(const demotion_restore_answered& input);
+    void on(const quota_answered& input);
+    void on(const quota_owner_unreachable& input);
+    void on(const quota_floor_changed& input);
     void on(const stop_requested& input);
     void on(const timer_expired& input);
 
@@ -250,6 +254,21 @@
     [[nodiscard]] connection_limit limit_of(const target_state& target) const;
     void update_min_connections();
 
+    // Quotas, session_engine_quota.cpp
+    /// @return True if the request must use a token before it is sent to a target.
+    [[nodiscard]] bool needs_token(const session& caller) const;
+    /// @brief Asks for a token if the request needs one and none is available.
+    /// @return False if the request waits for it or was refused. True if a token is available, or if
+    /// the request waits for a connection meanwhile.
+    [[nodiscard]] bool prepare_token(session& caller, const target_state& target);
+    void wait_for_token(session& caller);
+    /// @brief Uses a token if the request needs one.
+    /// @return False if there is none.
+    [[nodiscard]] bool take_token(session& caller);
+    void refuse_for_quota(session& caller, const quota_refusal& refusal);
+    /// @brief Dispatches the requests of an organisation that wait for tokens, oldest first.
+    void dispatch_token_waiters(const core::organisation_id& organisation);
+
     // Replies of targets, session_engine_replies.cpp
     void on_leadership_reply(target_connection& connection, const expected_reply& expected,
                              const statement_result& result);
@@ -400,6 +419,7 @@
     std::optional<core::time_point> configuration_confirmed_at_;
     /// Some route requires a key.
     bool keys_required_ = false;
+    quota_client quota_client_;
     std::map<core::host_id, host_state> hosts_;
     std::vector<link_peer> link_peers_;
     /// Incremented whenever the set of live hosts changes.
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
@@ -2,6 +2,7 @@
 
 #include <lovagemoor/core/ids.hpp>
 #include <lovagemoor/proxy/pool/prepared_names.hpp>
+#include <lovagemoor/proxy/quota/quota_share.hpp>
 
 #include <chrono>
 
@@ -135,6 +136,11 @@
     /// Part of key_withdrawal at its end in which keys are not used. Covers the resolution of the
     /// clocks and a host's turn of events.
     std::chrono::milliseconds key_withdrawal_margin{250};
+    /// The quotas of organisations.
+    quota_settings quota;
+    /// Longest time for which a request waits for a token of its organisation. Allows for one owner
+    /// that does not answer (quota_client::answer_timeout) and another one that does.
+    std::chrono::milliseconds quota_wait{250};
     /// Maximum number of statements that a session may send before its current one is answered.
     std::size_t max_backlog = 32;
     /// Limit on the memory of the names, values and shapes that a session may keep, so that one
--- a/packages/proxy/include/lovagemoor/proxy/session/session.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/session/session.hpp
@@ -48,7 +48,7 @@
 };
 
 /// @brief The resource for which a request waits.
-enum class wait_reason : std::uint8_t { none, primary, connection };
+enum class wait_reason : std::uint8_t { none, primary, connection, quota };
 
 /// @brief The log position that a read requires of a target.
 struct read_requirement {
@@ -78,6 +78,11 @@
     /// Targets that could not serve the request.
     std::vector<core::target_id> avoided;
     unsigned attempts = 0;
+    /// The operation has used a token of its organisation. Its further attempts need none.
+    bool token_taken = false;
+    bool token_asked = false;
+    /// Time since which the request waits for a token.
+    core::time_point token_awaited_since;
     /// The statement must run on the primary; a read outside of a transaction is preceded by a
     /// leadership check.
     bool check_leadership = false;
--- a/packages/proxy/src/engine/session_engine.cpp
+++ b/packages/proxy/src/engine/session_engine.cpp
@@ -15,7 +15,8 @@
 
 } // namespace internal
 
-session_engine::session_engine(session_engine_settings settings) : settings_{std::move(settings)} {}
+session_engine::session_engine(session_engine_settings settings)
+    : settings_{std::move(settings)}, quota_client_{settings_.quota} {}
 
 action_list session_engine::handle(core::time_point now, const event& input) {
     now_ = now;
@@ -123,6 +124,7 @@
     apply_held_entries();
     update_targets();
     forget_removed_hosts();
+    quota_client_.expire(now_);
     update_isolation();
     update_ready();
     if (!demotions_requested_at_.has_value() || demotions_list_due_) {
--- a/packages/proxy/src/engine/session_engine_registry.cpp
+++ b/packages/proxy/src/engine/session_engine_registry.cpp
@@ -15,6 +15,9 @@
          {"former", configuration_.has_value() ? std::to_string(configuration_->version) : "none"},
          {"routes", std::to_string(input.configuration.routes.size())}});
     configuration_ = input.configuration;
+    if (settings_.quota.window.count() > 0) {
+        quota_client_.configure(now_, configuration_->organisations);
+    }
     keys_required_ = std::any_of(configuration_->routes.begin(), configuration_->routes.end(),
                                  [](const auto& entry) { return entry.second->requires_key; });
     min_connections_outdated_ = true;
--- a/packages/proxy/src/engine/session_engine_requests.cpp
+++ b/packages/proxy/src/engine/session_engine_requests.cpp
@@ -203,11 +203,19 @@
         return;
     }
     target_state& target = *pool_.find(*chosen);
+    if (!prepare_token(caller, target)) {
+        return;
+    }
     target_connection* const connection = acquire_connection(caller, target);
     if (connection == nullptr) {
         enqueue_waiting(caller, wait_reason::connection);
         return;
     }
+    if (!take_token(caller)) {
+        pool_.release(*connection, now_);
+        wait_for_token(caller);
+        return;
+    }
     ++work.attempts;
     run_on(caller, *connection);
 }
@@ -692,7 +700,9 @@
         const core::connection_id held = work.connection;
         refuse(caller,
                {statement_error_kind::busy,
-                work.waits_for == wait_reason::primary ? "no primary" : "no connection free",
+                work.waits_for == wait_reason::primary ? "no primary"
+                : work.waits_for == wait_reason::quota ? "no token of the quota in time"
+                                                       : "no connection free",
                 settings_.search_interval});
         if (held != 0) {
             drop_connection(held);
