--- a/packages/proxy/test/engine/fake_cluster.hpp
+++ b/packages/proxy/test/engine/fake_cluster.hpp
@@ -180,10 +180,10 @@
         return records;
     }
 
-    session_id open(const std::string& database) {
+    session_id open(const std::string& database, const std::string& key = {}) {
         const session_id id = ++last_session_;
         session_databases_[id] = database;
-        apply(session_opened{id, database});
+        apply(session_opened{id, database, key});
         return id;
     }
 
