Exchange tokens of quotas over the link and claim slots in the registry

The engine's requests for tokens had no carrier. quota_exchange sends them over the link, answers those of other hosts and claims free slots under the registration's lease.

--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -6,6 +6,8 @@
 #include <lovagemoor/platform_adapter/statement_protocol.hpp>
 #include <lovagemoor/proxy/registry/restoration_delay.hpp>
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <csignal>
 #include <ctime>
@@ -52,6 +54,10 @@
 /// succession.
 constexpr std::chrono::milliseconds suspicions_watch_pause{100};
 
+/// Pause between watches of the quota slots' owners. While an owner is not known, its part of the
+/// quotas is not granted.
+constexpr std::chrono::milliseconds quota_watch_pause{100};
+
 /// Interval at which a pending watch is checked for a lost answer. With the time limit of the call
 /// it is well below the tightest bound of the reference deployments (3 s for a configuration).
 constexpr std::chrono::milliseconds watch_check_interval{2400};
@@ -84,6 +90,9 @@
     result.draining_use_time = settings.target_drain / 2;
     result.drain_time = settings.target_drain;
     result.key_withdrawal = settings.key_withdrawal;
+    result.quota.window = settings.quota_window;
+    result.quota.overage = settings.quota_overage;
+    result.quota.slack = settings.quota_slack;
     return result;
 }
 
@@ -133,6 +142,9 @@
     if (!settings.link_listen.empty()) {
         open_link();
     }
+    if (settings.quota_window.count() > 0) {
+        open_quota_exchange();
+    }
     if (settings.key_withdrawal.count() > 0) {
         configuration_proof_.emplace(std::string{platform_adapter::configuration_key},
                                      settings.key_withdrawal / internal::proofs_per_withdrawal);
@@ -166,6 +178,41 @@
                            platform_adapter::encode_link(self));
 }
 
+void session_host::open_quota_exchange() {
+    if (!link_router_.has_value()) {
+        log(core::log_event::level::error, "quota_without_link",
+            {{"reason", "without a link, no operation of an organisation with a rate can run"}});
+        return;
+    }
+    quota_follower_ = internal::make_follower(
+        proxy::quota_prefix, {.watch_pause = internal::quota_watch_pause,
+                              .watch_pause_max = internal::watch_pause_max,
+                              .check_interval = internal::watch_check_interval});
+    quota_exchange_.emplace(
+        context_, *link_router_, registry_client_, settings_.id,
+        internal::engine_settings_from(settings_).quota, internal::registration_duration,
+        quota_exchange_handlers{
+            [] { return internal::now(); }, [this](const proxy::event& input) { handle(input); },
+            [this](const core::log_event& event) { logger_.perform(event); },
+            [this](const core::count_metric& metric) { metrics_.perform(metric); }});
+}
+
+void session_host::update_quota_exchange() {
+    if (quota_exchange_.has_value()) {
+        quota_exchange_->update(registry_eras_.current(), registration_.lease());
+    }
+}
+
+void session_host::perform(const proxy::request_quota& action) {
+    if (quota_exchange_.has_value()) {
+        quota_exchange_->perform(action);
+        return;
+    }
+    boost::asio::post(context_, [this, number = action.request.number] {
+        handle(proxy::quota_owner_unreachable{number});
+    });
+}
+
 void session_host::run() {
     started_at_ = internal::now();
     log(core::log_event::level::info, "started",
@@ -190,6 +237,9 @@
             if (!stop_requested_at_.has_value()) {
                 stop_requested_at_ = internal::now();
             }
+            if (quota_exchange_.has_value()) {
+                quota_exchange_->stop();
+            }
             handle(proxy::stop_requested{});
         }
         wait_for_signals();
@@ -290,13 +340,14 @@
     run_follower(targets_follower_);
     run_follower(hosts_follower_);
     for (const std::shared_ptr<proxy::registry_follower>& follower :
-         {demotions_follower_, promotion_follower_}) {
+         {demotions_follower_, promotion_follower_, quota_follower_}) {
         if (follower != nullptr) {
             run_follower(follower);
         }
     }
     check_watches();
     prove_configuration();
+    update_quota_exchange();
     registry_timer_.expires_after(internal::registry_poll_interval);
     registry_timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
@@ -399,7 +450,9 @@
     recent_revisions_ = {};
     start_afresh(hosts_follower_, delay);
     start_afresh(promotion_follower_, delay);
+    start_afresh(quota_follower_, delay);
     registration_.on_restored(time, delay);
+    update_quota_exchange();
 }
 
 void session_host::maintain_registration() {
@@ -410,11 +463,19 @@
     // The registration starts anew when the registry is restored, and the id of a lease may be
     // given out again, so results of calls that were sent before are ignored.
     const std::optional<proxy::registry_era> sent_in = registry_eras_.current();
-    const auto on_lease = [this, sent_in](const proxy::lease_outcome& outcome) {
+    const auto on_lease = [this, sent_in,
+                           sent = internal::now()](const proxy::lease_outcome& outcome) {
         if (registry_eras_.restored_since(sent_in)) {
             return;
         }
         registration_.on_lease(internal::now(), outcome);
+        if (quota_exchange_.has_value()) {
+            if (outcome.status == proxy::registry_status::done) {
+                quota_exchange_->on_lease_renewed(sent);
+            } else if (outcome.status == proxy::registry_status::lease_ended) {
+                quota_exchange_->on_lease_lost();
+            }
+        }
         if (outcome.status == proxy::registry_status::unknown ||
             outcome.status == proxy::registry_status::rejected) {
             restart_watches();
@@ -495,9 +556,9 @@
                *call);
 }
 
-std::array<std::shared_ptr<proxy::registry_follower>*, 4> session_host::watching_followers() {
+std::array<std::shared_ptr<proxy::registry_follower>*, 5> session_host::watching_followers() {
     return {&configuration_follower_, &targets_follower_, &demotions_follower_,
-            &promotion_follower_};
+            &promotion_follower_, &quota_follower_};
 }
 
 void session_host::restart_watches() {
@@ -587,6 +648,8 @@
         apply_hosts(update);
     } else if (&follower == demotions_follower_.get()) {
         apply_demotions(update);
+    } else if (&follower == quota_follower_.get()) {
+        quota_exchange_->apply(update);
     } else {
         apply_promotions(update);
     }
@@ -608,6 +671,9 @@
         log(core::log_event::level::error, "configuration_entry_rejected",
             {{"revision", std::to_string(change.item.revision)}, {"reason", reason}});
     }
+    if (quota_exchange_.has_value()) {
+        quota_exchange_->configure(parsed.value().configuration);
+    }
     handle(proxy::configuration_changed{parsed.value().configuration});
 }
 
@@ -678,6 +744,13 @@
         registration_.on_lost(internal::now());
     }
     handle(listed);
+    if (quota_exchange_.has_value()) {
+        std::vector<core::host_id> hosts;
+        for (const proxy::host_record& record : listed.hosts) {
+            hosts.push_back(record.host);
+        }
+        quota_exchange_->on_hosts(hosts);
+    }
     if (link_router_.has_value()) {
         link_router_->set_peers(links.peers);
         handle(links);
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "link_router.hpp"
+#include "quota_exchange.hpp"
 
 #include <lovagemoor/gateway/caller_listener.hpp>
 #include <lovagemoor/gateway/http_server.hpp>
@@ -51,6 +52,7 @@
     void perform(const proxy::contact_registry& action);
     void perform(const proxy::promote_target& action);
     void perform(const proxy::publish_suspicion& action);
+    void perform(const proxy::request_quota& action);
     void perform(const proxy::withdraw_suspicion& action);
     void dispatch(const proxy::action& action);
     /// @brief Ends the process once all answers have been sent and closed sessions have ended.
@@ -68,7 +70,7 @@
 
     void run_follower(const std::shared_ptr<proxy::registry_follower>& follower);
     /// @return The followers that watch changes. Pointers to null where none is active.
-    [[nodiscard]] std::array<std::shared_ptr<proxy::registry_follower>*, 4> watching_followers();
+    [[nodiscard]] std::array<std::shared_ptr<proxy::registry_follower>*, 5> watching_followers();
     void restart_watches();
     /// @brief Has pending watches checked against lists that are known to be recent for a while.
     void note_disturbance();
@@ -94,6 +96,10 @@
     void open_link();
     /// @brief Reads the list of hosts less often once those that started together are known.
     void slow_down_hosts_polls();
+    /// @brief Starts to enforce the quotas of organisations.
+    /// @pre The link is open.
+    void open_quota_exchange();
+    void update_quota_exchange();
     /// @brief Makes the next call that proves the configuration, if keys may be withdrawn.
     void prove_configuration();
     void poll_registry();
@@ -128,6 +134,8 @@
     std::shared_ptr<proxy::registry_follower> demotions_follower_;
     /// Null while the engine does not need to follow promotions.
     std::shared_ptr<proxy::registry_follower> promotion_follower_;
+    /// Null if quotas are not enforced.
+    std::shared_ptr<proxy::registry_follower> quota_follower_;
     proxy::lease_keeper registration_;
     boost::asio::steady_timer engine_timer_;
     boost::asio::steady_timer registry_timer_;
@@ -137,6 +145,8 @@
     bool hosts_polls_slowed_ = false;
     std::optional<core::time_point> stop_requested_at_;
     proxy::promotion_lock_claim lock_claim_;
+    /// Empty if quotas are not enforced.
+    std::optional<quota_exchange> quota_exchange_;
 };
 
 } // namespace lovagemoor
