--- a/packages/proxy/test/quota/quota_cluster.hpp
+++ b/packages/proxy/test/quota/quota_cluster.hpp
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <cstddef>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
@@ -41,8 +42,6 @@
     bool floor_waits_for_lists = true;
     /// The clock of a host also advances while the host is suspended.
     bool clock_counts_suspension = true;
-    /// A lowered limit applies to the tokens in the buckets.
-    bool lowered_limit_empties_buckets = true;
 };
 
 /// @brief Hosts, their link and the registry in simulated time. Messages may be late or lost, hosts
@@ -78,6 +77,8 @@
         lease_id lease = 0;
         registry_era era = 0;
         double attempts_per_step = 1;
+        /// Time by which lists of hosts are behind.
+        core::duration list_staleness{0};
     };
 
     /// @return The host that was started.
@@ -87,6 +88,8 @@
         quota_settings client_settings = settings_;
         if (!rules_.tokens_expire) {
             client_settings.grant_validity = 10s;
+            // The host still uses all slots of the organisation.
+            client_settings.slack += 2 * limits_.rate_per_s * 10;
         }
         added->client = std::make_unique<quota_client>(client_settings);
         added->owner = std::make_unique<quota_owner>(settings_, lease_duration);
@@ -130,6 +133,13 @@
 
     /// @brief Injects one of the faults, chosen at random.
     void inject_fault() {
+        for (const std::unique_ptr<host>& caller : hosts_) {
+            if (!demand_varies) {
+                break;
+            }
+            constexpr double rates[] = {0, 0.05, 1, 3};
+            caller->attempts_per_step = rates[pick(std::size(rates))];
+        }
         host& hit = *hosts_[pick(hosts_.size())];
         switch (pick(7)) {
         case 0:
@@ -154,6 +164,11 @@
             break;
         }
         case 5:
+            for (const std::unique_ptr<host>& cut : hosts_) {
+                if (pick(2) == 0) {
+                    cut->registry_cut_until = now_ + random_delay(3s);
+                }
+            }
             return_registry();
             break;
         default: {
@@ -223,6 +238,8 @@
     /// Part of the messages that is lost.
     double loss = 0.02;
     core::duration longest_delay = 60ms;
+    /// The demand at each host changes with each fault.
+    bool demand_varies = false;
 
 private:
 
@@ -273,7 +290,8 @@
     void configure(host& changed) {
         const std::map<core::organisation_id, organisation> listed{{limits_.id, limits_}};
         changed.client->configure(clock_of(changed), listed);
-        changed.owner->configure(clock_of(changed), listed);
+        changed.owner->configure(rules_.starts_empty ? clock_of(changed) : clock_of(changed) - 1h,
+                                 listed);
     }
 
     void run_host(host& running) {
@@ -300,7 +318,7 @@
                 floor.hosts = 1;
             }
         }
-        running.client->set_floor(floor);
+        running.client->set_floor(rules_.tokens_expire ? floor : quota_floor{});
         attempt_operations(running);
     }
 
@@ -465,14 +483,12 @@
         const auto hosts = std::make_shared<std::vector<core::host_id>>();
         call_registry(
             reader,
-            [this, items, hosts] {
+            [this, items, hosts, staleness = reader.list_staleness] {
                 expire_leases();
                 for (const auto& [slot, item] : items_) {
                     items->push_back(item);
                 }
-                for (const auto& [id, lease] : registered_) {
-                    hosts->push_back(id);
-                }
+                *hosts = listed_at(now_ - staleness);
             },
             [this, items, hosts](host& informed) {
                 const core::time_point time = clock_of(informed);
@@ -489,6 +505,25 @@
             });
     }
 
+    /// @return The hosts that were registered at the given time.
+    [[nodiscard]] std::vector<core::host_id> listed_at(core::time_point at) {
+        std::vector<core::host_id> now_listed;
+        for (const auto& [id, lease] : registered_) {
+            now_listed.push_back(id);
+        }
+        history_.emplace_back(now_, now_listed);
+        if (at == now_) {
+            return now_listed;
+        }
+        std::vector<core::host_id> found = history_.front().second;
+        for (const auto& [recorded, listed] : history_) {
+            if (recorded <= at) {
+                found = listed;
+            }
+        }
+        return found;
+    }
+
     void send_claim(host& claiming, const quota_claims::claim& claim) {
         const auto outcome = std::make_shared<write_outcome>();
         const registry_era era = claiming.era;
@@ -539,6 +574,8 @@
     std::map<lease_id, core::time_point> leases_;
     std::map<core::host_id, lease_id> registered_;
     std::map<quota_slot, registry_item> items_;
+    /// Hosts that were registered, by time.
+    std::vector<std::pair<core::time_point, std::vector<core::host_id>>> history_;
     lease_id last_lease_ = 0;
     registry_revision revision_ = 0;
     std::vector<core::time_point> operations_;
