Give up quota slots beyond twice a host's part

The first host that starts claims all twelve slots and would answer every request for tokens, on a machine with a twelfth of a core. It gives up one slot a second; an old list that still shows the item is ignored.

--- a/packages/proxy/include/lovagemoor/proxy/quota/quota_claims.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/quota/quota_claims.hpp
@@ -49,6 +49,21 @@
     /// @brief Result of a claim. Must not be called for claims sent in an earlier era.
     void on_written(core::time_point now, const claim& sent, const write_outcome& outcome);
 
+    struct release {
+        quota_slot slot = 0;
+        write_items call;
+    };
+
+    /// @brief Gives up a slot if this host owns many more than its part, as the first host of a
+    /// deployment does that claims all slots. Usually the host that ranks first claims it then.
+    ///
+    /// The slot counts as given up from now on, whatever becomes of the write.
+    /// @return The write that removes the slot's item. It is repeated until it is answered.
+    [[nodiscard]] std::optional<release> next_release(core::time_point now);
+
+    /// @brief Result of a release. Must not be called for one sent in an earlier era.
+    void on_released(const release& sent, const write_outcome& outcome);
+
     /// @return True if the slot's item names this host and depends on its present lease.
     [[nodiscard]] bool owns(quota_slot slot) const;
 
@@ -61,6 +76,12 @@
 
     /// Delay after a claim that failed or was not answered.
     static constexpr std::chrono::milliseconds retry_pause{500};
+    /// Delay between releases, so that an organisation lacks one owner at a time.
+    static constexpr std::chrono::milliseconds release_pause{1000};
+    /// Time for which this host leaves a slot that it released to others.
+    static constexpr std::chrono::milliseconds released_time{5000};
+    /// Multiple of its part of the slots that a host keeps.
+    static constexpr std::size_t kept_multiple = 2;
 
 private:
     struct slot_state {
@@ -69,6 +90,11 @@
         std::optional<core::time_point> free_since;
         core::time_point retry_at;
         bool pending = false;
+        /// Revision of the item that this host gave up. The item may still be in lists; another
+        /// host may own the slot already.
+        registry_revision released_revision = 0;
+        /// The removal of the item has not been answered.
+        bool releasing = false;
     };
 
     core::host_id host_;
@@ -78,6 +104,7 @@
     std::optional<registry_era> era_;
     core::time_point era_known_since_;
     lease_id lease_ = 0;
+    core::time_point release_at_;
     bool listed_ = false;
     bool stopped_ = false;
 };
--- a/packages/proxy/src/quota/quota_claims.cpp
+++ b/packages/proxy/src/quota/quota_claims.cpp
@@ -2,6 +2,7 @@
 
 #include <lovagemoor/proxy/promotion/promotion_token.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace lovagemoor::proxy {
@@ -54,6 +55,9 @@
         return;
     }
     slot_state& state = slots_.at(*slot);
+    if (!change.removed && change.item.revision <= state.released_revision) {
+        return;
+    }
     if (change.removed) {
         state.item.reset();
         state.free_since = state.free_since.value_or(now);
@@ -109,6 +113,48 @@
     }
 }
 
+std::optional<quota_claims::release> quota_claims::next_release(core::time_point now) {
+    if (stopped_ || lease_ == 0 || hosts_.empty() || now < release_at_) {
+        return std::nullopt;
+    }
+    const auto release_of = [this, now](quota_slot slot) {
+        release_at_ = now + release_pause;
+        const std::string key = key_of(slot);
+        return release{slot, {{{key, slots_.at(slot).released_revision}}, {}, {key}}};
+    };
+    std::size_t owned = 0;
+    std::optional<quota_slot> ranked_after_others;
+    for (quota_slot slot = 0; slot < quota_slot_count; ++slot) {
+        if (slots_.at(slot).releasing) {
+            return release_of(slot);
+        }
+        if (owns(slot)) {
+            ++owned;
+            if (!ranked_after_others.has_value() && claim_rank(slot, host_, hosts_) > 0) {
+                ranked_after_others = slot;
+            }
+        }
+    }
+    const std::size_t part = (quota_slot_count + hosts_.size() - 1) / hosts_.size();
+    if (owned <= kept_multiple * part || !ranked_after_others.has_value()) {
+        return std::nullopt;
+    }
+    slot_state& given_up = slots_.at(*ranked_after_others);
+    given_up.released_revision = given_up.item->revision;
+    given_up.releasing = true;
+    given_up.item.reset();
+    given_up.free_since = now;
+    given_up.retry_at = now + released_time;
+    return release_of(*ranked_after_others);
+}
+
+void quota_claims::on_released(const release& sent, const write_outcome& outcome) {
+    // A conflict shows that the item is no longer the one that was given up.
+    if (outcome.status == registry_status::done || outcome.status == registry_status::conflict) {
+        slots_.at(sent.slot).releasing = false;
+    }
+}
+
 bool quota_claims::owns(quota_slot slot) const {
     const std::optional<registry_item>& item = slots_.at(slot).item;
     return !stopped_ && lease_ != 0 && item.has_value() && item->value == host_.value &&
--- a/packages/proxy/test/quota/quota_claims_test.cpp
+++ b/packages/proxy/test/quota/quota_claims_test.cpp
@@ -218,4 +218,64 @@
     BOOST_TEST(removal->expected.front().revision == 8U);
 }
 
+namespace {
+
+const std::vector<core::host_id> many{{"a"}, {"b"}, {"c"}, {"d"}, {"e"}, {"f"},
+                                      {"g"}, {"h"}, {"i"}, {"j"}, {"k"}, {"self"}};
+
+/// @return Claims of a host that owns all slots, one of twelve hosts.
+quota_claims owner_of_all() {
+    quota_claims claims = ready_claims();
+    std::vector<registry_item> items;
+    for (quota_slot slot = 0; slot < quota_slot_count; ++slot) {
+        items.push_back(item_of(slot, "self", lease));
+    }
+    claims.on_listed(start, items);
+    claims.on_hosts(many);
+    return claims;
+}
+
+} // namespace
+
+// Guards against a small host that answers all requests for tokens because it started first.
+BOOST_AUTO_TEST_CASE(an_owner_of_too_many_slots_gives_some_up) {
+    quota_claims claims = owner_of_all();
+    core::time_point now = start;
+    std::size_t released = 0;
+    for (; now < start + 30s; now += 100ms) {
+        const auto release = claims.next_release(now);
+        if (release.has_value()) {
+            ++released;
+            BOOST_TEST(!claims.owns(release->slot));
+            BOOST_TEST(release->call.expected.front().revision == 10U);
+            claims.on_released(*release, {registry_status::done, 20, {}});
+            claims.on_changed(now, {{key_of(release->slot), "a", 21, 7}, false});
+        }
+        BOOST_TEST(claims.next_claims(now).empty());
+    }
+    BOOST_TEST(released == 10U);
+}
+
+// Guards against two owners: a list made before the removal still shows the item, while another
+// host may own the slot already.
+BOOST_AUTO_TEST_CASE(a_slot_that_was_given_up_is_not_taken_back_from_an_old_list) {
+    quota_claims claims = owner_of_all();
+    const auto release = claims.next_release(start);
+    BOOST_REQUIRE(release.has_value());
+    claims.on_changed(start + 1s, {item_of(release->slot, "self", lease), false});
+    BOOST_TEST(!claims.owns(release->slot));
+}
+
+// Guards against a slot that stays without an owner because its removal had no answer.
+BOOST_AUTO_TEST_CASE(a_removal_without_an_answer_is_repeated) {
+    quota_claims claims = owner_of_all();
+    const auto first = claims.next_release(start);
+    claims.on_released(*first, {registry_status::unknown, 0, {}});
+    BOOST_TEST(!claims.next_release(start + 999ms).has_value());
+    const auto second = claims.next_release(start + 1s);
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(second->slot == first->slot);
+    BOOST_TEST(second->call.expected.front().revision == 10U);
+}
+
 } // namespace lovagemoor::proxy
--- a/packages/proxy/test/quota/quota_cluster.hpp
+++ b/packages/proxy/test/quota/quota_cluster.hpp
@@ -306,6 +306,10 @@
         for (const quota_claims::claim& claim : running.claims->next_claims(time)) {
             send_claim(running, claim);
         }
+        if (const auto release = running.claims->next_release(time)) {
+            update_owned(running);
+            send_release(running, *release);
+        }
         update_owned(running);
         quota_floor floor = running.floor->floor(time);
         if (!rules_.floor_needs_registration && running.floor->floor(time).hosts == 0 &&
@@ -559,6 +563,26 @@
         });
     }
 
+    void send_release(host& releasing, const quota_claims::release& release) {
+        const auto outcome = std::make_shared<write_outcome>();
+        call_registry(
+            releasing,
+            [this, release, outcome, era = releasing.era] {
+                expire_leases();
+                const auto held = items_.find(release.slot);
+                if (era == era_ && held != items_.end() &&
+                    held->second.revision == release.call.expected.front().revision) {
+                    items_.erase(held);
+                    outcome->status = registry_status::done;
+                } else {
+                    outcome->status = registry_status::conflict;
+                }
+            },
+            [release, outcome](host& informed) {
+                informed.claims->on_released(release, *outcome);
+            });
+    }
+
     std::mt19937 random_;
     quota_settings settings_;
     organisation limits_;
--- a/programs/lovagemoord/src/quota_exchange.cpp
+++ b/programs/lovagemoord/src/quota_exchange.cpp
@@ -63,6 +63,7 @@
     claims_.on_lease(lease);
     update_owned_slots();
     send_claims();
+    send_release();
     update_floor();
 }
 
@@ -139,6 +140,22 @@
     }
 }
 
+void quota_exchange::send_release() {
+    const std::optional<proxy::quota_claims::release> release =
+        claims_.next_release(handlers_.now());
+    if (!release.has_value()) {
+        return;
+    }
+    // Another host may grant as soon as the item is gone, so this one stops first.
+    update_owned_slots();
+    registry_.write(release->call, [this, sent = *release,
+                                    sent_in = era_](const proxy::write_outcome& outcome) {
+        if (sent_in == era_) {
+            claims_.on_released(sent, outcome);
+        }
+    });
+}
+
 void quota_exchange::update_floor() {
     const proxy::quota_floor floor = floor_hosts_.floor(handlers_.now());
     if (floor != floor_) {
--- a/programs/lovagemoord/src/quota_exchange.hpp
+++ b/programs/lovagemoord/src/quota_exchange.hpp
@@ -73,6 +73,7 @@
     /// @brief Has the owner grant from the slots that this host owns.
     void update_owned_slots();
     void send_claims();
+    void send_release();
     void update_floor();
     void post_event(proxy::event input);
     [[nodiscard]] proxy::quota_grant grant_locally(const proxy::quota_request& request);
