--- a/packages/proxy/test/engine/fake_cluster.hpp
+++ b/packages/proxy/test/engine/fake_cluster.hpp
@@ -133,7 +133,7 @@
         }
         for (const std::string& name : organisations) {
             config.organisations[core::organisation_id{name}] = {core::organisation_id{name}, 0, 0};
-            config.keys["key of " + name] = core::organisation_id{name};
+            config.keys[std::string{key_prefix} + name] = core::organisation_id{name};
         }
         apply(configuration_changed{config});
     }
@@ -203,12 +203,17 @@
         return records;
     }
 
-    /// @param organisation Organisation of the caller; empty for a caller without a key.
-    session_id open(const std::string& database, const std::string& organisation = {}) {
+    /// Start of the keys that configure() gives to organisations. The name of the organisation
+    /// follows.
+    static constexpr std::string_view key_prefix = "key of ";
+
+    /// @param key Key of the caller; empty for none.
+    session_id open(const std::string& database, const std::string& key = {}) {
         const session_id id = ++last_session_;
         session_databases_[id] = database;
-        session_organisations_[id] = organisation;
-        apply(session_opened{id, database, organisation.empty() ? "" : "key of " + organisation});
+        session_organisations_[id] =
+            key.starts_with(key_prefix) ? key.substr(key_prefix.size()) : std::string{};
+        apply(session_opened{id, database, key});
         return id;
     }
 
--- a/packages/proxy/test/engine/lending_engine_test.cpp
+++ b/packages/proxy/test/engine/lending_engine_test.cpp
@@ -154,7 +154,7 @@
 // Guards against statements of one organisation, or of none, on a connection of another.
 BOOST_AUTO_TEST_CASE(organisations_do_not_share_connections) {
     fake_cluster cluster = started({"o", "p"});
-    const session_id callers[] = {cluster.open("own", "o"), cluster.open("own", "p"),
+    const session_id callers[] = {cluster.open("own", "key of o"), cluster.open("own", "key of p"),
                                   cluster.open("own")};
     for (int round = 0; round < 5; ++round) {
         for (const session_id caller : callers) {
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -3,6 +3,7 @@
 #include "burst_counter.hpp"
 #include "connection_lending.hpp"
 #include "link_router.hpp"
+#include "quota_exchange.hpp"
 #include "registry_relay.hpp"
 
 #include <lovagemoor/gateway/caller_listener.hpp>
@@ -54,6 +55,7 @@
     void perform(const proxy::contact_registry& action);
     void perform(const proxy::promote_target& action);
     void perform(const proxy::publish_suspicion& action);
+    void perform(const proxy::request_quota& action);
     void perform(const proxy::withdraw_suspicion& action);
     void dispatch(const proxy::action& action);
 
@@ -82,7 +84,7 @@
 
     void run_follower(const std::shared_ptr<proxy::registry_follower>& follower);
     /// @return The followers that watch changes. Pointers to null where none is active.
-    [[nodiscard]] std::array<std::shared_ptr<proxy::registry_follower>*, 4> watching_followers();
+    [[nodiscard]] std::array<std::shared_ptr<proxy::registry_follower>*, 5> watching_followers();
     void restart_watches();
     /// @brief Has pending watches checked against lists that are known to be recent for a while.
     void note_disturbance();
@@ -108,6 +110,10 @@
     void open_link();
     /// @brief Reads the list of hosts less often once those that started together are known.
     void slow_down_hosts_polls();
+    /// @brief Starts to enforce the quotas of organisations.
+    /// @pre The link is open.
+    void open_quota_exchange();
+    void update_quota_exchange();
     [[nodiscard]] registry_relay::hooks relay_hooks();
     /// @brief Makes the next call that proves the configuration, if keys may be withdrawn or hosts
     /// pass on answers of the registry.
@@ -149,6 +155,8 @@
     std::shared_ptr<proxy::registry_follower> demotions_follower_;
     /// Null while the engine does not need to follow promotions.
     std::shared_ptr<proxy::registry_follower> promotion_follower_;
+    /// Null if quotas are not enforced.
+    std::shared_ptr<proxy::registry_follower> quota_follower_;
     proxy::lease_keeper registration_;
     boost::asio::steady_timer engine_timer_;
     boost::asio::steady_timer registry_timer_;
@@ -159,6 +167,8 @@
     bool hosts_polls_slowed_ = false;
     std::optional<core::time_point> stop_requested_at_;
     proxy::promotion_lock_claim lock_claim_;
+    /// Empty if quotas are not enforced.
+    std::optional<quota_exchange> quota_exchange_;
 };
 
 } // namespace lovagemoor
