--- a/programs/lovagemoord/src/quota_exchange.cpp
+++ b/programs/lovagemoord/src/quota_exchange.cpp
@@ -35,7 +35,8 @@
       handlers_{std::move(handlers)},
       owner_{settings, lease_duration},
       claims_{host_, lease_duration},
-      floor_hosts_{host_, settings.window, lease_duration} {
+      floor_hosts_{host_, settings.window, lease_duration},
+      started_at_{handlers_.now()} {
     router_.on_frame(link::frame::kQuotaRequest,
                      [this](link::channel_id channel, const link::frame& message) {
                          on_request(channel, message);
@@ -123,6 +124,9 @@
 }
 
 void quota_exchange::send_claims() {
+    if (handlers_.now() - started_at_ < hosts_settle_time) {
+        return;
+    }
     for (const proxy::quota_claims::claim& claim : claims_.next_claims(handlers_.now())) {
         registry_.write(claim.call, [this, claim,
                                      sent_in = era_](const proxy::write_outcome& outcome) {
--- a/programs/lovagemoord/src/quota_exchange.hpp
+++ b/programs/lovagemoord/src/quota_exchange.hpp
@@ -69,6 +69,9 @@
     void stop();
 
 private:
+    /// Time after a start in which no slots are claimed. Hosts that start together know only some
+    /// of the others at first, and each would take itself for the first in rank.
+    static constexpr std::chrono::seconds hosts_settle_time{3};
 
     /// @brief Has the owner grant from the slots that this host owns.
     void update_owned_slots();
@@ -94,6 +97,7 @@
     proxy::quota_floor_hosts floor_hosts_;
     proxy::quota_floor floor_;
     std::optional<proxy::registry_era> era_;
+    core::time_point started_at_;
     std::int64_t configuration_version_ = -1;
     /// Channel of each request without an answer.
     std::map<std::uint64_t, link::channel_id> outstanding_;
