--- a/packages/proxy/src/quota/quota_claims.cpp
+++ b/packages/proxy/src/quota/quota_claims.cpp
@@ -75,7 +75,7 @@
     std::vector<claim> due;
     const bool restored_lately = era_.has_value() && *era_ > promotion_token::first_era &&
                                  now - era_known_since_ < lease_duration_;
-    if (stopped_ || !listed_ || lease_ == 0 || restored_lately || hosts_.empty()) {
+    if (stopped_ || !listed_ || lease_ == 0 || restored_lately) {
         return due;
     }
     for (quota_slot slot = 0; slot < quota_slot_count; ++slot) {
@@ -90,7 +90,8 @@
             }
             // A former process of this host owned the slot; it has ended.
             expected = state.item->revision;
-        } else if (now < *state.free_since + quota_claim_rank_delay * static_cast<int>(claim_rank(
+        } else if (hosts_.empty() ||
+                   now < *state.free_since + quota_claim_rank_delay * static_cast<int>(claim_rank(
                                                                           slot, host_, hosts_))) {
             continue;
         }
--- a/packages/proxy/src/quota/quota_share.cpp
+++ b/packages/proxy/src/quota/quota_share.cpp
@@ -20,6 +20,10 @@
 /// floor.
 constexpr double spare_part_of_buckets = 0.5;
 
+/// Factor on the rate of the buckets, if the limit allows it: tokens that expire unused on one host
+/// are missing on another.
+constexpr double rate_factor = 1.05;
+
 /// Smallest part of the organisation's rate for which the quota is divided between several slots.
 constexpr double min_rate_part = 0.9;
 
@@ -88,7 +92,8 @@
         // between the slots, do not cover.
         share.capacity += std::max(spare, 0.0) * internal::spare_part_of_buckets / slots;
         const double burst = share.capacity * slots;
-        const double rate = std::min(limits.rate_per_s, (limit - burst) / refill_s);
+        const double rate =
+            std::min(limits.rate_per_s * internal::rate_factor, (limit - burst) / refill_s);
         share.rate_per_s = std::max(rate, 0.0) / slots;
         share.floor = std::max(limit - burst - share.rate_per_s * slots * refill_s, 0.0);
         if (rate >= limits.rate_per_s * internal::min_rate_part) {
--- a/programs/lovagemoord/src/quota_exchange.cpp
+++ b/programs/lovagemoord/src/quota_exchange.cpp
@@ -84,7 +84,9 @@
 }
 
 void quota_exchange::on_hosts(const std::vector<core::host_id>& hosts) {
-    claims_.on_hosts(hosts);
+    if (handlers_.now() - started_at_ >= hosts_settle_time) {
+        claims_.on_hosts(hosts);
+    }
     floor_hosts_.on_listed(handlers_.now(), hosts);
     update_floor();
 }
@@ -124,9 +126,6 @@
 }
 
 void quota_exchange::send_claims() {
-    if (handlers_.now() - started_at_ < hosts_settle_time) {
-        return;
-    }
     for (const proxy::quota_claims::claim& claim : claims_.next_claims(handlers_.now())) {
         registry_.write(claim.call, [this, claim,
                                      sent_in = era_](const proxy::write_outcome& outcome) {
--- a/programs/lovagemoord/src/quota_exchange.hpp
+++ b/programs/lovagemoord/src/quota_exchange.hpp
@@ -69,8 +69,9 @@
     void stop();
 
 private:
-    /// Time after a start in which no slots are claimed. Hosts that start together know only some
-    /// of the others at first, and each would take itself for the first in rank.
+    /// Time after a start in which only slots of this host's former process are claimed. Hosts that
+    /// start together know only some of the others at first, and each would take itself for the
+    /// first in rank.
     static constexpr std::chrono::seconds hosts_settle_time{3};
 
     /// @brief Has the owner grant from the slots that this host owns.
