--- a/packages/proxy/test/relay/relay_property_test.cpp
+++ b/packages/proxy/test/relay/relay_property_test.cpp
@@ -458,7 +458,10 @@
             continue;
         }
         ++epoch(host, other);
-        for (const auto& [one, lost] : {std::pair{host, other}, std::pair{other, host}}) {
+        for (const std::pair<std::size_t, std::size_t>& ends :
+             {std::pair{host, other}, std::pair{other, host}}) {
+            const std::size_t one = ends.first;
+            const std::size_t lost = ends.second;
             tasks_.after(1ms, [this, one, lost] {
                 hosts_[one]->run([this, one, lost] {
                     hosts_[one]->source().on_relay_lost(hosts_[lost]->id());
@@ -514,6 +517,38 @@
     }
 }
 
+void write_something(model_store& store, int& written) {
+    if (store.draw(0, 1) == 0) {
+        store.write(configuration_key, std::to_string(++written));
+    } else if (store.draw(0, 2) == 0) {
+        store.remove("p/" + std::to_string(store.draw(0, 6)));
+    } else {
+        store.write("p/" + std::to_string(store.draw(0, 6)), std::to_string(written));
+    }
+}
+
+/// @return True if all hosts hold what the registry holds.
+bool all_agree(const std::vector<std::unique_ptr<model_host>>& hosts, const model_store& store) {
+    std::map<std::string, std::string> stored;
+    for (const auto& [key, item] : store.items()) {
+        stored[key] = item.value;
+    }
+    return std::all_of(hosts.begin(), hosts.end(),
+                       [&stored](const auto& host) { return host->view() == stored; });
+}
+
+void collect(const std::vector<std::unique_ptr<model_host>>& hosts, run_result& result) {
+    for (const std::unique_ptr<model_host>& host : hosts) {
+        if (!host->violation.empty()) {
+            result.violation = host->id().value + ": " + host->violation;
+        }
+        result.relayed_calls += host->relayed_calls;
+        if (!host->is_relay()) {
+            result.registry_calls_of_askers += host->late_registry_calls;
+        }
+    }
+}
+
 run_result play(std::uint64_t seed, bool disturbed) {
     schedule tasks;
     model_store store{tasks, seed};
@@ -560,23 +595,11 @@
             next_fault = now + milliseconds{store.draw(100, 3000)};
         }
         if (!store.away && now < changes_until && now >= next_change) {
-            if (store.draw(0, 1) == 0) {
-                store.write(configuration_key, std::to_string(++written));
-            } else if (store.draw(0, 2) == 0) {
-                store.remove("p/" + std::to_string(store.draw(0, 6)));
-            } else {
-                store.write("p/" + std::to_string(store.draw(0, 6)), std::to_string(written));
-            }
+            write_something(store, written);
             last_change = now;
             next_change = now + milliseconds{store.draw(100, changes_apart)};
         }
-        std::map<std::string, std::string> stored;
-        for (const auto& [key, item] : store.items()) {
-            stored[key] = item.value;
-        }
-        const bool agrees = std::all_of(hosts.begin(), hosts.end(), [&stored](const auto& host) {
-            return host->view() == stored;
-        });
+        const bool agrees = all_agree(hosts, store);
         if (!agrees) {
             agrees_since.reset();
         } else if (!agrees_since.has_value()) {
@@ -586,15 +609,7 @@
             last_change = now;
         }
     }
-    for (const std::unique_ptr<model_host>& host : hosts) {
-        if (!host->violation.empty()) {
-            result.violation = host->id().value + ": " + host->violation;
-        }
-        result.relayed_calls += host->relayed_calls;
-        if (!host->is_relay()) {
-            result.registry_calls_of_askers += host->late_registry_calls;
-        }
-    }
+    collect(hosts, result);
     result.settled = agrees_since.has_value();
     if (result.settled) {
         result.settled_after = std::max(core::duration{0}, *agrees_since - last_change);
