--- a/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
@@ -142,8 +142,8 @@
     std::variant<accept_session, reject_session, answer_statement, close_session, open_target,
                  send_commands, close_target, publish_suspicion, withdraw_suspicion,
                  follow_promotions, acquire_promotion_lock, publish_demotion, restore_demotion,
-                 list_demotions, contact_registry, promote_target, request_quota, set_ready, stop_process,
-                 core::log_event, core::count_metric, core::observe_duration>;
+                 list_demotions, contact_registry, promote_target, request_quota, set_ready,
+                 stop_process, core::log_event, core::count_metric, core::observe_duration>;
 
 using action_list = std::vector<action>;
 
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -289,14 +289,16 @@
 /// @brief The time returned by session_engine::next_wakeup() is reached.
 struct timer_expired {};
 
-using event = std::variant<
-    session_opened, statement_received, session_closed, session_output_changed, target_connected,
-    target_replied, target_disconnected, configuration_changed, configuration_confirmed,
-    targets_listed, target_changed, target_removed, hosts_listed, link_peers_listed, suspicions_listed,
-    suspicion_reported, suspicion_withdrawn, suspicion_publish_failed, suspicion_withdrawal_failed,
-    promotion_lock_answered, promotion_lock_taken, promotion_lock_released, promotion_answered,
-    demotion_announced, demotions_listed, demotion_publish_answered, demotion_restore_answered,
-    registry_contacted, registry_reachable, registry_restored, quota_answered,
-    quota_owner_unreachable, quota_floor_changed, stop_requested, timer_expired>;
+using event =
+    std::variant<session_opened, statement_received, session_closed, session_output_changed,
+                 target_connected, target_replied, target_disconnected, configuration_changed,
+                 configuration_confirmed, targets_listed, target_changed, target_removed,
+                 hosts_listed, link_peers_listed, suspicions_listed, suspicion_reported,
+                 suspicion_withdrawn, suspicion_publish_failed, suspicion_withdrawal_failed,
+                 promotion_lock_answered, promotion_lock_taken, promotion_lock_released,
+                 promotion_answered, demotion_announced, demotions_listed,
+                 demotion_publish_answered, demotion_restore_answered, registry_contacted,
+                 registry_reachable, registry_restored, quota_answered, quota_owner_unreachable,
+                 quota_floor_changed, stop_requested, timer_expired>;
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -258,8 +258,8 @@
     /// @return True if the request must use a token before it is sent to a target.
     [[nodiscard]] bool needs_token(const session& caller) const;
     /// @brief Asks for a token if the request needs one and none is available.
-    /// @return False if the request waits for it or was refused. True if a token is available, or if
-    /// the request waits for a connection meanwhile.
+    /// @return False if the request waits for it or was refused. True if a token is available, or
+    /// if the request waits for a connection meanwhile.
     [[nodiscard]] bool prepare_token(session& caller, const target_state& target);
     void wait_for_token(session& caller);
     /// @brief Uses a token if the request needs one.
--- a/packages/proxy/src/engine/session_engine_quota.cpp
+++ b/packages/proxy/src/engine/session_engine_quota.cpp
@@ -11,10 +11,9 @@
         out_.emplace_back(core::count_metric{
             "lovagemoor_quota_tokens_total", {}, static_cast<double>(input.grant.granted)});
     }
-    count("lovagemoor_quota_answers_total",
-          {{"result", input.grant.granted > 0 ? "granted"
-                      : input.grant.not_owner ? "not_owner"
-                                              : "refused"}});
+    count("lovagemoor_quota_answers_total", {{"result", input.grant.granted > 0 ? "granted"
+                                                        : input.grant.not_owner ? "not_owner"
+                                                                                : "refused"}});
     const std::optional<core::organisation_id> organisation =
         quota_client_.on_grant(now_, input.grant);
     if (organisation.has_value()) {
--- a/packages/proxy/src/engine/session_engine_requests.cpp
+++ b/packages/proxy/src/engine/session_engine_requests.cpp
@@ -698,12 +698,11 @@
     const request& work = *caller.current;
     if (work.phase != request_phase::running) {
         const core::connection_id held = work.connection;
-        refuse(caller,
-               {statement_error_kind::busy,
-                work.waits_for == wait_reason::primary ? "no primary"
-                : work.waits_for == wait_reason::quota ? "no token of the quota in time"
-                                                       : "no connection free",
-                settings_.search_interval});
+        refuse(caller, {statement_error_kind::busy,
+                        work.waits_for == wait_reason::primary ? "no primary"
+                        : work.waits_for == wait_reason::quota ? "no token of the quota in time"
+                                                               : "no connection free",
+                        settings_.search_interval});
         if (held != 0) {
             drop_connection(held);
         }
--- a/packages/proxy/src/quota/quota_claims.cpp
+++ b/packages/proxy/src/quota/quota_claims.cpp
@@ -90,12 +90,13 @@
             }
             // A former process of this host owned the slot; it has ended.
             expected = state.item->revision;
-        } else if (now < *state.free_since + quota_claim_rank_delay *
-                                                 static_cast<int>(claim_rank(slot, host_, hosts_))) {
+        } else if (now < *state.free_since + quota_claim_rank_delay * static_cast<int>(claim_rank(
+                                                                          slot, host_, hosts_))) {
             continue;
         }
         state.pending = true;
-        due.push_back({slot, lease_,
+        due.push_back({slot,
+                       lease_,
                        {{{key_of(slot), expected}}, {{key_of(slot), host_.value, lease_}}, {}}});
     }
     return due;
--- a/packages/proxy/src/quota/quota_client.cpp
+++ b/packages/proxy/src/quota/quota_client.cpp
@@ -62,9 +62,8 @@
             state.batches.clear();
             state.pending = 0;
             state.next_slot = 0;
-            std::erase_if(outstanding_, [&id](const auto& entry) {
-                return entry.second.organisation == id;
-            });
+            std::erase_if(outstanding_,
+                          [&id](const auto& entry) { return entry.second.organisation == id; });
         }
     }
 }
@@ -81,9 +80,8 @@
 }
 
 void quota_client::drop_expired(core::time_point now, organisation_state& state) const {
-    std::erase_if(state.batches, [now](const batch& held) {
-        return held.count == 0 || now >= held.valid_until;
-    });
+    std::erase_if(state.batches,
+                  [now](const batch& held) { return held.count == 0 || now >= held.valid_until; });
     while (!state.floor_uses.empty() && now - state.floor_uses.front() > settings_.window) {
         state.floor_uses.pop_front();
     }
@@ -137,8 +135,8 @@
 
 void quota_client::update_need(core::time_point now, organisation_state& state) const {
     // Further intervals without a use halve the need each; after ten it is close to none.
-    for (int interval = 0;
-         interval < 10 && now - state.need_updated >= settings_.grant_validity; ++interval) {
+    for (int interval = 0; interval < 10 && now - state.need_updated >= settings_.grant_validity;
+         ++interval) {
         state.need += (state.used - state.need) * internal::need_weight;
         state.used = 0;
         state.need_updated += settings_.grant_validity;
@@ -200,15 +198,15 @@
     if (earliest == nullptr) {
         return refused;
     }
-    refused.retry_after = std::clamp(std::chrono::ceil<std::chrono::milliseconds>(earliest_at - now),
-                                     std::chrono::milliseconds{1}, settings_.window);
+    refused.retry_after =
+        std::clamp(std::chrono::ceil<std::chrono::milliseconds>(earliest_at - now),
+                   std::chrono::milliseconds{1}, settings_.window);
     const double rate = state.share.rate_per_s * state.share.slots;
     if (refused.reason == quota_refusal_reason::exceeded && rate > 0) {
         // The token that is due then goes to this caller, the following one to the next.
-        earliest->retry_at =
-            std::min(earliest_at + std::chrono::ceil<core::duration>(
-                                       std::chrono::duration<double>{1 / rate}),
-                     now + settings_.window);
+        earliest->retry_at = std::min(earliest_at + std::chrono::ceil<core::duration>(
+                                                        std::chrono::duration<double>{1 / rate}),
+                                      now + settings_.window);
     }
     return refused;
 }
@@ -294,8 +292,8 @@
 
 void quota_client::expire(core::time_point now) {
     std::erase_if(outstanding_, [&](const auto& entry) {
-        return now - entry.second.sent >= std::max<core::duration>(settings_.grant_validity,
-                                                                   answer_timeout) &&
+        return now - entry.second.sent >=
+                   std::max<core::duration>(settings_.grant_validity, answer_timeout) &&
                (!organisations_.contains(entry.second.organisation) ||
                 organisations_.at(entry.second.organisation).pending != entry.first);
     });
--- a/packages/proxy/src/quota/quota_owner.cpp
+++ b/packages/proxy/src/quota/quota_owner.cpp
@@ -79,13 +79,11 @@
     if (share.rate_per_s <= 0) {
         return settings_.window;
     }
-    const core::time_point due =
-        std::max(now + internal::from_seconds((1 - empty.level) / share.rate_per_s),
-                 empty.promised_until);
+    const core::time_point due = std::max(
+        now + internal::from_seconds((1 - empty.level) / share.rate_per_s), empty.promised_until);
     // A refused host asks the other slots too, so each promises its part of the tokens.
-    empty.promised_until =
-        std::min(due + internal::from_seconds(1 / (share.rate_per_s * share.slots)),
-                 now + settings_.window);
+    empty.promised_until = std::min(
+        due + internal::from_seconds(1 / (share.rate_per_s * share.slots)), now + settings_.window);
     return std::min(settings_.window, std::chrono::ceil<std::chrono::milliseconds>(due - now));
 }
 
--- a/packages/proxy/src/quota/quota_share.cpp
+++ b/packages/proxy/src/quota/quota_share.cpp
@@ -27,8 +27,7 @@
 
 } // namespace internal
 
-std::array<quota_slot, slots_per_organisation>
-slots_of(const core::organisation_id& organisation) {
+std::array<quota_slot, slots_per_organisation> slots_of(const core::organisation_id& organisation) {
     std::array<quota_slot, quota_slot_count> ranked{};
     std::iota(ranked.begin(), ranked.end(), 0U);
     std::sort(ranked.begin(), ranked.end(), [&](quota_slot left, quota_slot right) {
--- a/packages/proxy/test/engine/session_engine_quota_test.cpp
+++ b/packages/proxy/test/engine/session_engine_quota_test.cpp
@@ -30,9 +30,9 @@
 void limit(fake_cluster& cluster, std::int64_t version, double rate_per_s) {
     configuration config;
     config.version = version;
-    config.routes["own"] = std::make_shared<const route>(
-        route{"own", core::service_id{"s"}, read_consistency::read_your_writes, 2000ms, 1000ms,
-              200ms, 1, true});
+    config.routes["own"] = std::make_shared<const route>(route{"own", core::service_id{"s"},
+                                                               read_consistency::read_your_writes,
+                                                               2000ms, 1000ms, 200ms, 1, true});
     config.services[core::service_id{"s"}] = {30, 0};
     config.organisations[org] = {org, rate_per_s, 10};
     config.keys["key"] = org;
@@ -65,8 +65,8 @@
 
 /// @brief Answers the newest request for tokens.
 void grant(fake_cluster& cluster, unsigned count, std::chrono::milliseconds retry_after = 0ms) {
-    cluster.apply(quota_answered{
-        {requests(cluster).back().number, count, 250ms, retry_after, false}});
+    cluster.apply(
+        quota_answered{{requests(cluster).back().number, count, 250ms, retry_after, false}});
 }
 
 } // namespace
@@ -92,7 +92,7 @@
 BOOST_AUTO_TEST_CASE(a_transaction_takes_one_token) {
     fake_cluster cluster = started();
     const session_id caller = cluster.open("own", "key");
-    cluster.send(caller, kind::set, "v", "1");
+    cluster.set_value(caller, "v", "1");
     cluster.send(caller, kind::prepare, "p", "shape", true);
     const std::string begin = cluster.send(caller, kind::begin);
     cluster.run_for(50ms);
--- a/packages/proxy/test/quota/quota_claims_test.cpp
+++ b/packages/proxy/test/quota/quota_claims_test.cpp
@@ -54,8 +54,7 @@
     {"a slot of another host",
      [](quota_claims& claims) { claims.on_listed(start, {item_of(3, "other", 7)}); }, start, 11},
     {"a slot that this host owns",
-     [](quota_claims& claims) { claims.on_listed(start, {item_of(3, "self", lease)}); }, start,
-     11},
+     [](quota_claims& claims) { claims.on_listed(start, {item_of(3, "self", lease)}); }, start, 11},
     {"a slot of a former process of this host",
      [](quota_claims& claims) { claims.on_listed(start, {item_of(3, "self", 4)}); }, start, 12},
     {"claims are not repeated while they are pending",
@@ -183,9 +182,13 @@
     {"the lease ended", [](quota_claims& claims) { claims.on_lease(0); }},
     {"another lease", [](quota_claims& claims) { claims.on_lease(lease + 1); }},
     {"the item was removed",
-     [](quota_claims& claims) { claims.on_changed(start, {item_of(0, "", 0, 11), true}); }},
+     [](quota_claims& claims) {
+         claims.on_changed(start, {item_of(0, "", 0, 11), true});
+     }},
     {"another host owns it",
-     [](quota_claims& claims) { claims.on_changed(start, {item_of(0, "other", 7, 11), false}); }},
+     [](quota_claims& claims) {
+         claims.on_changed(start, {item_of(0, "other", 7, 11), false});
+     }},
     {"the registry came back",
      [](quota_claims& claims) {
          claims.on_era(start, 1);
--- a/packages/proxy/test/quota/quota_client_test.cpp
+++ b/packages/proxy/test/quota/quota_client_test.cpp
@@ -184,8 +184,8 @@
     for (int turn = 0; turn < 3; ++turn) {
         client.on_grant(start, refused(ask(client, start), 4000ms));
     }
-    BOOST_TEST(client.ask(start + quota_client::refused_pause_max - 1ms, org, true)
-                   .refusal.has_value());
+    BOOST_TEST(
+        client.ask(start + quota_client::refused_pause_max - 1ms, org, true).refusal.has_value());
     BOOST_TEST(client.ask(start + quota_client::refused_pause_max, org, true).request.has_value());
 }
 
@@ -260,8 +260,8 @@
 
 // Guards against a floor that is used beside the tokens of an owner, or by hosts that do not count
 // each other.
-BOOST_DATA_TEST_CASE(hosts_without_any_owner_use_the_floor, boost::unit_test::data::make(floor_cases),
-                     tested) {
+BOOST_DATA_TEST_CASE(hosts_without_any_owner_use_the_floor,
+                     boost::unit_test::data::make(floor_cases), tested) {
     quota_client client = configured();
     client.set_floor(tested.floor);
     for (unsigned turn = 0; turn < slots_per_organisation; ++turn) {
--- a/packages/proxy/test/quota/quota_cluster.hpp
+++ b/packages/proxy/test/quota/quota_cluster.hpp
@@ -45,7 +45,8 @@
 };
 
 /// @brief Hosts, their link and the registry in simulated time. Messages may be late or lost, hosts
-/// may be cut off, suspended, killed and started, and the registry may come back from an older copy.
+/// may be cut off, suspended, killed and started, and the registry may come back from an older
+/// copy.
 ///
 /// Every host attempts operations of one organisation in each step, far above its quota.
 class quota_cluster {
@@ -223,16 +224,20 @@
     }
 
     [[nodiscard]] std::size_t operations() const noexcept { return operations_.size(); }
+
     [[nodiscard]] core::time_point now() const noexcept { return now_; }
+
     std::mt19937& random() noexcept { return random_; }
+
     [[nodiscard]] host& host_at(std::size_t index) { return *hosts_.at(index); }
+
     [[nodiscard]] std::size_t host_count() const noexcept { return hosts_.size(); }
 
     [[nodiscard]] std::optional<core::host_id> owner_of(quota_slot slot) const {
         const auto found = items_.find(slot);
-        return found == items_.end() ? std::nullopt
-                                     : std::optional<core::host_id>{core::host_id{
-                                           found->second.value}};
+        return found == items_.end()
+                   ? std::nullopt
+                   : std::optional<core::host_id>{core::host_id{found->second.value}};
     }
 
     /// Part of the messages that is lost.
@@ -242,7 +247,6 @@
     bool demand_varies = false;
 
 private:
-
     std::size_t pick(std::size_t count) {
         return std::uniform_int_distribution<std::size_t>{0, count - 1}(random_);
     }
@@ -279,7 +283,8 @@
             return;
         }
         if (now_ < found->frozen_until) {
-            after(found->frozen_until - now_, [this, id, process, run] { deliver(id, process, run); });
+            after(found->frozen_until - now_,
+                  [this, id, process, run] { deliver(id, process, run); });
             return;
         }
         run(*found);
@@ -328,12 +333,12 @@
 
     void attempt_operations(host& running) {
         const core::time_point time = clock_of(running);
-        const auto attempts = static_cast<unsigned>(running.attempts_per_step) +
-                              (std::bernoulli_distribution{running.attempts_per_step -
-                                                           std::floor(running.attempts_per_step)}(
-                                   random_)
-                                   ? 1U
-                                   : 0U);
+        const auto attempts =
+            static_cast<unsigned>(running.attempts_per_step) +
+            (std::bernoulli_distribution{running.attempts_per_step -
+                                         std::floor(running.attempts_per_step)}(random_)
+                 ? 1U
+                 : 0U);
         for (unsigned attempt = 0; attempt < attempts; ++attempt) {
             if (running.client->take(time, limits_.id)) {
                 operations_.push_back(now_);
@@ -436,8 +441,10 @@
 
     /// @brief Removes what depends on leases that have ended.
     void expire_leases() {
-        std::erase_if(items_, [this](const auto& entry) { return !lease_valid(entry.second.lease); });
-        std::erase_if(registered_, [this](const auto& entry) { return !lease_valid(entry.second); });
+        std::erase_if(items_,
+                      [this](const auto& entry) { return !lease_valid(entry.second.lease); });
+        std::erase_if(registered_,
+                      [this](const auto& entry) { return !lease_valid(entry.second); });
     }
 
     void renew(host& renewing) {
@@ -537,8 +544,7 @@
             [this, claim, outcome, era, id] {
                 expire_leases();
                 const auto held = items_.find(claim.slot);
-                const registry_revision revision =
-                    held == items_.end() ? 0 : held->second.revision;
+                const registry_revision revision = held == items_.end() ? 0 : held->second.revision;
                 if (!lease_valid(claim.lease) || era != era_) {
                     outcome->status = registry_status::lease_ended;
                 } else if (rules_.claims_are_conditional &&
--- a/packages/proxy/test/quota/quota_floor_test.cpp
+++ b/packages/proxy/test/quota/quota_floor_test.cpp
@@ -45,13 +45,16 @@
     {"registry away: the registration may have ended", [](quota_floor_hosts&) {}, start + 8500ms,
      0},
     {"a suspended host wakes", [](quota_floor_hosts&) {}, start + 60s, 0},
-    {"the list is too old",
-     [](quota_floor_hosts& hosts) { hosts.on_lease_renewed(start + 9s); }, start + 10s, 0},
+    {"the list is too old", [](quota_floor_hosts& hosts) { hosts.on_lease_renewed(start + 9s); },
+     start + 10s, 0},
     {"the lease was lost", [](quota_floor_hosts& hosts) { hosts.on_lease_lost(); }, start, 0},
     {"the host is not listed",
-     [](quota_floor_hosts& hosts) { hosts.on_listed(start, {{"a"}, {"b"}}); }, start, 0},
-    {"a host that left still counts",
-     [](quota_floor_hosts& hosts) { hosts.on_listed(start, two); }, start + 4s, 3},
+     [](quota_floor_hosts& hosts) {
+         hosts.on_listed(start, {{"a"}, {"b"}});
+     },
+     start, 0},
+    {"a host that left still counts", [](quota_floor_hosts& hosts) { hosts.on_listed(start, two); },
+     start + 4s, 3},
     {"a host that left more than a window ago",
      [](quota_floor_hosts& hosts) {
          hosts.on_listed(start, two);
--- a/packages/proxy/test/quota/quota_model_test.cpp
+++ b/packages/proxy/test/quota/quota_model_test.cpp
@@ -32,9 +32,8 @@
     cluster.run_for(2s);
     for (int fault = 0; fault < 8; ++fault) {
         cluster.inject_fault();
-        cluster.run_for(core::duration{
-            std::uniform_int_distribution<core::duration::rep>{100'000, 2'000'000}(
-                cluster.random())});
+        cluster.run_for(core::duration{std::uniform_int_distribution<core::duration::rep>{
+            100'000, 2'000'000}(cluster.random())});
     }
     return cluster.most_in_a_window();
 }
@@ -92,8 +91,8 @@
      tight, org},
     {"claims wait after the registry came back",
      [](quota_rules& rules) { rules.claims_wait_after_return = false; }, tight, org},
-    {"the floor is divided", [](quota_rules& rules) { rules.floor_is_divided = false; },
-     wide_floor, org},
+    {"the floor is divided", [](quota_rules& rules) { rules.floor_is_divided = false; }, wide_floor,
+     org},
     {"the clock counts suspensions",
      [](quota_rules& rules) { rules.clock_counts_suspension = false; }, tight, org},
 };
@@ -228,8 +227,10 @@
      [](quota_rules& rules) { rules.floor_needs_registration = false; }, widest_floor, org, 4,
      replace_cut_off_hosts},
     {"the floor waits until all lists show the host",
-     [](quota_rules& rules) { rules.floor_waits_for_lists = false; }, {1000ms, 0.1, 200, 250ms},
-     org, 1,
+     [](quota_rules& rules) { rules.floor_waits_for_lists = false; },
+     {1000ms, 0.1, 200, 250ms},
+     org,
+     1,
      start_beside_stale_lists},
 };
 
--- a/packages/proxy/test/quota/quota_replay_test.cpp
+++ b/packages/proxy/test/quota/quota_replay_test.cpp
@@ -116,8 +116,11 @@
     }
 
     [[nodiscard]] const std::vector<tally>& tallies() const noexcept { return tallies_; }
+
     [[nodiscard]] const organisation& limits(std::size_t index) const { return limits_.at(index); }
+
     [[nodiscard]] std::size_t messages() const noexcept { return messages_; }
+
     [[nodiscard]] core::duration longest_wait() const noexcept { return longest_wait_; }
 
 private:
@@ -258,9 +261,8 @@
     BOOST_TEST_MESSAGE("arrived " << arrived << ", below the limit " << below_limit << ", served "
                                   << served_below_limit << "; above the limit: " << above.arrived
                                   << " arrived, " << above.below_limit << " below, "
-                                  << above.served.size() << " served; requests "
-                                  << load.messages() << ", longest wait "
-                                  << load.longest_wait().count() << " us");
+                                  << above.served.size() << " served; requests " << load.messages()
+                                  << ", longest wait " << load.longest_wait().count() << " us");
     BOOST_TEST(static_cast<double>(served_below_limit) >= 0.99 * static_cast<double>(below_limit));
     BOOST_TEST(static_cast<double>(above.served.size()) >=
                0.99 * static_cast<double>(above.below_limit));
--- a/packages/proxy/test/quota/quota_share_test.cpp
+++ b/packages/proxy/test/quota/quota_share_test.cpp
@@ -50,8 +50,7 @@
     const organisation limits{core::organisation_id{"o"}, tested.rate_per_s, tested.burst};
     const quota_share share = share_of(limits, settings);
     BOOST_TEST(share.slots == tested.slots);
-    const double total =
-        share.slots * (share.capacity + share.rate_per_s * 5.25) + share.floor;
+    const double total = share.slots * (share.capacity + share.rate_per_s * 5.25) + share.floor;
     BOOST_TEST(total <= window_limit(limits, settings) * (1 + 1e-12));
     BOOST_TEST(share.rate_per_s * share.slots == tested.rate_part * tested.rate_per_s,
                boost::test_tools::tolerance(1e-9));
--- a/programs/lovagemoord/src/quota_exchange.cpp
+++ b/programs/lovagemoord/src/quota_exchange.cpp
@@ -13,9 +13,8 @@
 namespace {
 
 std::uint32_t milliseconds_of(std::chrono::milliseconds value) {
-    return static_cast<std::uint32_t>(
-        std::clamp<std::chrono::milliseconds::rep>(value.count(), 0,
-                                                   std::numeric_limits<std::uint32_t>::max()));
+    return static_cast<std::uint32_t>(std::clamp<std::chrono::milliseconds::rep>(
+        value.count(), 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
 } // namespace
@@ -124,19 +123,19 @@
 
 void quota_exchange::send_claims() {
     for (const proxy::quota_claims::claim& claim : claims_.next_claims(handlers_.now())) {
-        registry_.write(claim.call, [this, claim,
-                                     sent_in = era_](const proxy::write_outcome& outcome) {
-            if (sent_in != era_) {
-                return;
-            }
-            claims_.on_written(handlers_.now(), claim, outcome);
-            if (outcome.status != proxy::registry_status::done &&
-                outcome.status != proxy::registry_status::conflict) {
-                log(core::log_event::level::warning, "quota_claim_failed",
-                    {{"slot", std::to_string(claim.slot)}});
-            }
-            update_owned_slots();
-        });
+        registry_.write(claim.call,
+                        [this, claim, sent_in = era_](const proxy::write_outcome& outcome) {
+                            if (sent_in != era_) {
+                                return;
+                            }
+                            claims_.on_written(handlers_.now(), claim, outcome);
+                            if (outcome.status != proxy::registry_status::done &&
+                                outcome.status != proxy::registry_status::conflict) {
+                                log(core::log_event::level::warning, "quota_claim_failed",
+                                    {{"slot", std::to_string(claim.slot)}});
+                            }
+                            update_owned_slots();
+                        });
     }
 }
 
@@ -148,12 +147,12 @@
     }
     // Another host may grant as soon as the item is gone, so this one stops first.
     update_owned_slots();
-    registry_.write(release->call, [this, sent = *release,
-                                    sent_in = era_](const proxy::write_outcome& outcome) {
-        if (sent_in == era_) {
-            claims_.on_released(sent, outcome);
-        }
-    });
+    registry_.write(release->call,
+                    [this, sent = *release, sent_in = era_](const proxy::write_outcome& outcome) {
+                        if (sent_in == era_) {
+                            claims_.on_released(sent, outcome);
+                        }
+                    });
 }
 
 void quota_exchange::update_floor() {
@@ -189,8 +188,7 @@
 
 void quota_exchange::post_event(proxy::event input) {
     // The engine is processing the event that led here.
-    boost::asio::post(context_,
-                      [this, input = std::move(input)] { handlers_.on_event(input); });
+    boost::asio::post(context_, [this, input = std::move(input)] { handlers_.on_event(input); });
 }
 
 proxy::quota_grant quota_exchange::grant_locally(const proxy::quota_request& request) {
@@ -201,7 +199,8 @@
                                  : answer.not_owner ? "not_owner"
                                                     : "refused"}}});
     if (answer.granted > 0) {
-        handlers_.count({"lovagemoor_quota_granted_total", {}, static_cast<double>(answer.granted)});
+        handlers_.count(
+            {"lovagemoor_quota_granted_total", {}, static_cast<double>(answer.granted)});
     }
     return {request.number, answer.granted, settings_.grant_validity, answer.retry_after,
             answer.not_owner};
@@ -209,9 +208,8 @@
 
 void quota_exchange::on_request(link::channel_id channel, const link::frame& message) {
     const link::v1::QuotaRequest& body = message.quota_request();
-    const proxy::quota_grant grant =
-        grant_locally({body.number(), core::organisation_id{body.organisation()}, body.slot(),
-                       body.wanted()});
+    const proxy::quota_grant grant = grant_locally(
+        {body.number(), core::organisation_id{body.organisation()}, body.slot(), body.wanted()});
     link::frame answer;
     link::v1::QuotaGrant& granted = *answer.mutable_quota_grant();
     granted.set_number(grant.number);
@@ -231,10 +229,9 @@
     }
     outstanding_.erase(sent);
     router_.change_expected_answers(channel, -1);
-    handlers_.on_event(proxy::quota_answered{{body.number(), body.granted(),
-                                              std::chrono::milliseconds{body.valid_ms()},
-                                              std::chrono::milliseconds{body.retry_ms()},
-                                              body.not_owner()}});
+    handlers_.on_event(proxy::quota_answered{
+        {body.number(), body.granted(), std::chrono::milliseconds{body.valid_ms()},
+         std::chrono::milliseconds{body.retry_ms()}, body.not_owner()}});
 }
 
 void quota_exchange::on_channel_closed(link::channel_id channel) {
--- a/programs/lovagemoord/src/quota_exchange.hpp
+++ b/programs/lovagemoord/src/quota_exchange.hpp
@@ -69,7 +69,6 @@
     void stop();
 
 private:
-
     /// @brief Has the owner grant from the slots that this host owns.
     void update_owned_slots();
     void send_claims();
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -184,10 +184,10 @@
             {{"reason", "without a link, no operation of an organisation with a rate can run"}});
         return;
     }
-    quota_follower_ = internal::make_follower(
-        proxy::quota_prefix, {.watch_pause = internal::quota_watch_pause,
-                              .watch_pause_max = internal::watch_pause_max,
-                              .check_interval = internal::watch_check_interval});
+    quota_follower_ = internal::make_follower(proxy::quota_prefix,
+                                              {.watch_pause = internal::quota_watch_pause,
+                                               .watch_pause_max = internal::watch_pause_max,
+                                               .check_interval = internal::watch_check_interval});
     quota_exchange_.emplace(
         context_, *link_router_, registry_client_, settings_.id,
         internal::engine_settings_from(settings_).quota, internal::registration_duration,
