--- a/packages/proxy/src/quota/quota_client.cpp
+++ b/packages/proxy/src/quota/quota_client.cpp
@@ -62,8 +62,9 @@
             state.batches.clear();
             state.pending = 0;
             state.next_slot = 0;
-            std::erase_if(outstanding_,
-                          [&id](const auto& entry) { return entry.second.organisation == id; });
+            std::erase_if(outstanding_, [&changed = id](const auto& entry) {
+                return entry.second.organisation == changed;
+            });
         }
     }
 }
