--- a/packages/proxy/src/lending/holder_ranking.cpp
+++ b/packages/proxy/src/lending/holder_ranking.cpp
@@ -13,6 +13,14 @@
 
 namespace {
 
+/// @name Connections are lent if a target accepts no more than two for each three hosts
+/// With more, most hosts keep a connection to a replica of each service, which renews the lease of
+/// its primary.
+/// @{
+constexpr std::size_t scarce_connections = 2;
+constexpr std::size_t scarce_hosts = 3;
+/// @}
+
 /// Weight of a host that announces none, or an invalid one.
 constexpr double min_weight = 1e-3;
 
@@ -87,7 +95,8 @@
         return false;
     }
     return activation.organisations ||
-           (activation.max_connections > 0 && activation.max_connections < activation.hosts);
+           (activation.max_connections > 0 && activation.max_connections * internal::scarce_hosts <=
+                                                  activation.hosts * internal::scarce_connections);
 }
 
 } // namespace lovagemoor::proxy
