--- a/packages/proxy/test/relay/relay_choice_test.cpp
+++ b/packages/proxy/test/relay/relay_choice_test.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 // Guards against hosts that choose differently because their lists are ordered differently.
-BOOST_AUTO_TEST_CASE(the_order_of_the_list_does_not_matter) {
+BOOST_AUTO_TEST_CASE(relays_do_not_depend_on_the_order_of_the_list) {
     std::vector<link_peer> peers = make_peers(40);
     const std::vector<core::host_id> relays = relays_of_domain(peers, core::domain_id{"a"});
     BOOST_TEST_REQUIRE(relays.size() == relays_per_domain);
