--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -322,7 +322,7 @@
                  suspicion_withdrawal_failed, promotion_lock_answered, promotion_lock_taken,
                  promotion_lock_released, promotion_answered, demotion_announced, demotions_listed,
                  demotion_publish_answered, demotion_restore_answered, registry_contacted,
-                 registry_reachable, registry_restored, quota_answered,
-                 quota_owner_unreachable, quota_floor_changed, stop_requested, timer_expired>;
+                 registry_reachable, registry_restored, quota_answered, quota_owner_unreachable,
+                 quota_floor_changed, stop_requested, timer_expired>;
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/include/lovagemoor/proxy/quota/quota_share.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/quota/quota_share.hpp
@@ -71,8 +71,8 @@
 /// @brief Divides the quota of an organisation.
 ///
 /// In a window, the buckets grant up to slots x capacity tokens at once and rate x (window +
-/// grant_validity) more, since a token may be used for grant_validity after its grant. The capacity
-/// includes half of what the limit allows beyond rate and burst; what this leaves is the floor.
+/// grant_validity) more, since a token may be used for grant_validity after its grant. What this
+/// leaves of the limit is the floor.
 /// @pre The organisation has a rate.
 [[nodiscard]] quota_share share_of(const organisation& limits, const quota_settings& settings);
 
--- a/packages/proxy/src/quota/quota_share.cpp
+++ b/packages/proxy/src/quota/quota_share.cpp
@@ -16,14 +16,6 @@
 /// A bucket grants whole tokens only, so up to one token of each stays unused.
 constexpr double rounding_per_slot = 1;
 
-/// Part of what the rule allows beyond rate and burst that the token buckets grant. The rest is the
-/// floor.
-constexpr double spare_part_of_buckets = 0.5;
-
-/// Factor on the rate of the buckets, if the limit allows it: tokens that expire unused on one host
-/// are missing on another.
-constexpr double rate_factor = 1.05;
-
 /// Smallest part of the organisation's rate for which the quota is divided between several slots.
 constexpr double min_rate_part = 0.9;
 
@@ -86,14 +78,8 @@
         const double rounding = slots > 1 ? internal::rounding_per_slot : 0;
         share.slots = slots;
         share.capacity = std::max(limits.burst / slots + rounding, 1.0);
-        const double least = share.capacity * slots;
-        const double spare = limit - least - limits.rate_per_s * refill_s;
-        // The operations of a small organisation come in clusters that its rate and burst, divided
-        // between the slots, do not cover.
-        share.capacity += std::max(spare, 0.0) * internal::spare_part_of_buckets / slots;
         const double burst = share.capacity * slots;
-        const double rate =
-            std::min(limits.rate_per_s * internal::rate_factor, (limit - burst) / refill_s);
+        const double rate = std::min(limits.rate_per_s, (limit - burst) / refill_s);
         share.rate_per_s = std::max(rate, 0.0) / slots;
         share.floor = std::max(limit - burst - share.rate_per_s * slots * refill_s, 0.0);
         if (rate >= limits.rate_per_s * internal::min_rate_part) {
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -247,8 +247,8 @@
             core::count_metric{"lovagemoor_registry_calls_total",
                                {{"kind", renewal ? "renewal" : "write"}, {"source", "registry"}}});
     });
-    // Promotions are not relayed: their delay would add to that of a failover. Nor are demotions, as
-    // contact with the registry must prove that this host has heard of them.
+    // Promotions are not relayed: their delay would add to that of a failover. Nor are demotions,
+    // as contact with the registry must prove that this host has heard of them.
     registry_relay::configuration relay_configuration{
         settings.id,
         settings.domain,
