--- a/packages/proxy/test/engine/organisations_test.cpp
+++ b/packages/proxy/test/engine/organisations_test.cpp
@@ -24,7 +24,8 @@
     return settings;
 }
 
-configuration configuration_with(std::int64_t version, std::map<std::string, std::string> keys) {
+configuration configuration_with(std::int64_t version,
+                                 const std::map<std::string, std::string>& keys) {
     configuration config;
     config.version = version;
     route keyed{"keyed", core::service_id{"s"}, read_consistency::latest, 0ms, 1000ms, 200ms, 1};
@@ -53,8 +54,8 @@
         confirm();
     }
 
-    void configure(std::int64_t version, std::map<std::string, std::string> keys) {
-        cluster.apply(configuration_changed{configuration_with(version, std::move(keys))});
+    void configure(std::int64_t version, const std::map<std::string, std::string>& keys) {
+        cluster.apply(configuration_changed{configuration_with(version, keys)});
     }
 
     void confirm() { cluster.apply(configuration_confirmed{cluster.now()}); }
