--- a/packages/proxy/test/relay/relay_choice_test.cpp
+++ b/packages/proxy/test/relay/relay_choice_test.cpp
@@ -19,6 +19,7 @@
 
 std::vector<link_peer> make_peers(int count) {
     std::vector<link_peer> peers;
+    peers.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         peers.push_back(make_peer("front-" + std::to_string(index), index % 2 == 0 ? "a" : "b"));
     }
--- a/packages/settings/src/session_settings.cpp
+++ b/packages/settings/src/session_settings.cpp
@@ -4,6 +4,7 @@
 #include "value_parser.hpp"
 
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <utility>
 
@@ -105,9 +106,52 @@
         });
 }
 
-key_list<session_settings> make_session_table() {
+/// @return The keys for organisations and for the limits on callers.
+key_list<session_settings> make_caller_table() {
     const session_settings initial;
     return {
+        range_key("organisations", "key_withdrawal_ms", "ms", 0, 0, one_minute_ms,
+                  &session_settings::key_withdrawal,
+                  "Time after its withdrawal for which a key may still be used; 0 for no bound."),
+        seconds_key("organisations", "quota_window_s", std::chrono::milliseconds{0},
+                    &session_settings::quota_window,
+                    "Length of the windows in which quotas hold; without it, there are none."),
+        number_key("organisations", "quota_overage", 1, &session_settings::quota_overage,
+                   "Fraction by which a quota may be exceeded in a window."),
+        number_key("organisations", "quota_slack", max_quota_slack, &session_settings::quota_slack,
+                   "Operations by which a quota may be exceeded in a window."),
+        range_key("callers", "memory_percent", "%",
+                  static_cast<std::int64_t>(initial.caller_memory_percent), 0,
+                  max_caller_memory_percent, &session_settings::caller_memory_percent,
+                  "Part of [host] memory_mb that may be held for callers; 0 for no limit."),
+        range_key("callers", "reserved_descriptors", "",
+                  static_cast<std::int64_t>(initial.reserved_descriptors), 16, 100'000,
+                  &session_settings::reserved_descriptors,
+                  "File descriptors that callers leave to targets, the registry, other hosts and "
+                  "probes; at most half of all."),
+        seconds_key("callers", "start_timeout_s", initial.start_timeout,
+                    &session_settings::start_timeout,
+                    "Time without progress after which a connection without a complete first line "
+                    "is closed."),
+        seconds_key("callers", "message_timeout_s", initial.message_timeout,
+                    &session_settings::message_timeout,
+                    "Time without progress after which a connection with an incomplete message is "
+                    "closed."),
+        seconds_key("callers", "answer_timeout_s", initial.answer_timeout,
+                    &session_settings::answer_timeout,
+                    "Time without progress after which a connection with unread answers is "
+                    "closed."),
+        range_key("callers", "max_answer_mb", "MB",
+                  static_cast<std::int64_t>(initial.max_answer_mb), 1, 1024,
+                  &session_settings::max_answer_mb,
+                  "Largest answer of a target that is passed on; at most a quarter of the memory "
+                  "for callers."),
+    };
+}
+
+key_list<session_settings> make_session_table() {
+    const session_settings initial;
+    key_list<session_settings> table{
         text_key<session_settings>(
             {"host", "id", "name", "", "", "", true, "Unique name of this host."}, parse_name,
             [](session_settings& settings, std::string value) {
@@ -167,42 +211,6 @@
                   0, 1'000'000, &session_settings::relay_threshold,
                   "Calls that read the registry go through relays if more hosts than this are "
                   "linked."),
-        range_key("organisations", "key_withdrawal_ms", "ms", 0, 0, one_minute_ms,
-                  &session_settings::key_withdrawal,
-                  "Time after its withdrawal for which a key may still be used; 0 for no bound."),
-        seconds_key("organisations", "quota_window_s", std::chrono::milliseconds{0},
-                    &session_settings::quota_window,
-                    "Length of the windows in which quotas hold; without it, there are none."),
-        number_key("organisations", "quota_overage", 1, &session_settings::quota_overage,
-                   "Fraction by which a quota may be exceeded in a window."),
-        number_key("organisations", "quota_slack", max_quota_slack, &session_settings::quota_slack,
-                   "Operations by which a quota may be exceeded in a window."),
-        range_key("callers", "memory_percent", "%",
-                  static_cast<std::int64_t>(initial.caller_memory_percent), 0,
-                  max_caller_memory_percent, &session_settings::caller_memory_percent,
-                  "Part of [host] memory_mb that may be held for callers; 0 for no limit."),
-        range_key("callers", "reserved_descriptors", "",
-                  static_cast<std::int64_t>(initial.reserved_descriptors), 16, 100'000,
-                  &session_settings::reserved_descriptors,
-                  "File descriptors that callers leave to targets, the registry, other hosts and "
-                  "probes; at most half of all."),
-        seconds_key("callers", "start_timeout_s", initial.start_timeout,
-                    &session_settings::start_timeout,
-                    "Time without progress after which a connection without a complete first line "
-                    "is closed."),
-        seconds_key("callers", "message_timeout_s", initial.message_timeout,
-                    &session_settings::message_timeout,
-                    "Time without progress after which a connection with an incomplete message is "
-                    "closed."),
-        seconds_key("callers", "answer_timeout_s", initial.answer_timeout,
-                    &session_settings::answer_timeout,
-                    "Time without progress after which a connection with unread answers is "
-                    "closed."),
-        range_key("callers", "max_answer_mb", "MB",
-                  static_cast<std::int64_t>(initial.max_answer_mb), 1, 1024,
-                  &session_settings::max_answer_mb,
-                  "Largest answer of a target that is passed on; at most a quarter of the memory "
-                  "for callers."),
         text_key<session_settings>({"log", "level", "debug, info, warning or error", "", "", "info",
                                     false, "Lowest level of events that are logged."},
                                    parse_level,
@@ -210,6 +218,10 @@
                                        settings.log_level = value;
                                    }),
     };
+    key_list<session_settings> callers = make_caller_table();
+    table.insert(table.end(), std::make_move_iterator(callers.begin()),
+                 std::make_move_iterator(callers.end()));
+    return table;
 }
 
 const key_list<session_settings>& session_table() {
--- a/programs/lovagemoord/src/registry_relay.cpp
+++ b/programs/lovagemoord/src/registry_relay.cpp
@@ -169,6 +169,7 @@
                                configuration parameters, hooks functions)
     : client_{client},
       router_{router},
+      relayed_prefixes_{parameters.relayed_prefixes},
       source_{std::move(parameters.host),
               std::move(parameters.domain),
               std::move(parameters.proved_prefix),
@@ -201,11 +202,14 @@
                                 const proxy::relay_answer& answer) {
         send_answer(requester, answer);
     };
-    result.on_call = [count = functions.count](const proxy::registry_source::call& made,
-                                               purpose reason, bool relayed) {
-        count({"lovagemoor_registry_calls_total",
-               {{"kind", internal::kind_of(made, reason)},
-                {"source", relayed ? "relay" : "registry"}}});
+    result.on_call = [this, count = functions.count](const proxy::registry_source::call& made,
+                                                     purpose reason, bool relayed) {
+        const bool relayable = relayed_prefixes_.contains(
+            std::visit([](const auto& value) { return value.prefix; }, made));
+        const char* const direct = relayable ? "registry" : "registry_only";
+        count(
+            {"lovagemoor_registry_calls_total",
+             {{"kind", internal::kind_of(made, reason)}, {"source", relayed ? "relay" : direct}}});
     };
     result.on_relay_failure = [count = functions.count, log = std::move(functions.log)](
                                   const core::host_id& relay, const char* reason) {
--- a/programs/lovagemoord/src/registry_relay.hpp
+++ b/programs/lovagemoord/src/registry_relay.hpp
@@ -84,6 +84,7 @@
     platform_adapter::registry_client& client_;
     link_router* router_;
     std::map<core::host_id, relay_channel> channels_;
+    std::set<std::string> relayed_prefixes_;
     proxy::registry_source source_;
 };
 
