--- a/tests/process/connection_lending_test.cpp
+++ b/tests/process/connection_lending_test.cpp
@@ -164,7 +164,7 @@
     std::string execute(const std::string& text) {
         boost::asio::write(socket_, boost::asio::buffer("QUERY q" + std::to_string(++last_query_) +
                                                         " " + text + "\r\n"));
-        const std::string first = read_line();
+        std::string first = read_line();
         for (std::string line = first; !line.empty() && !line.starts_with("READY");
              line = read_line()) {
         }
--- a/tests/process/uncontrolled_callers_test.cpp
+++ b/tests/process/uncontrolled_callers_test.cpp
@@ -189,7 +189,7 @@
 
     /// @return The first line of the answer, empty if the connection was lost.
     std::string execute(const std::string& text) {
-        const std::string first = send("QUERY q" + std::to_string(++last_query_) + " " + text);
+        std::string first = send("QUERY q" + std::to_string(++last_query_) + " " + text);
         for (std::string line = first; !line.empty() && !line.starts_with("READY");) {
             line = read_line();
         }
@@ -362,8 +362,8 @@
     std::string result{startup};
     for (int index = 0; index < 100; ++index) {
         const std::string number = std::to_string(index);
-        result += "QUERY p" + number + " PREPARE name" + number + " READ " +
-                  std::string(10'000, 's') + "\r\n";
+        result.append("QUERY p").append(number).append(" PREPARE name").append(number);
+        result.append(" READ ").append(10'000, 's').append("\r\n");
     }
     return result;
 }
@@ -673,9 +673,12 @@
         for (std::size_t statement = 0; statement < statements; ++statement) {
             const std::string id = "QUERY q" + std::to_string(statement);
             const std::string item = " kit-" + std::to_string(index);
-            bytes += statement % 2 == 0
-                         ? id + " WRITE" + item + " " + std::string(1'048'000, 'x') + "\r\n"
-                         : id + " READ" + item + "\r\n";
+            const bool writes = statement % 2 == 0;
+            bytes.append(id).append(writes ? " WRITE" : " READ").append(item);
+            if (writes) {
+                bytes.append(" ").append(1'048'000, 'x');
+            }
+            bytes.append("\r\n");
         }
         callers.push_back(std::async(std::launch::async, [&host, bytes] {
             return answers_to_slow_caller(host.caller_port(), bytes, statements);
