Score holders and relays by one function

Both had a copy of weighted rendezvous hashing, which differed in how they kept the logarithm finite and in the least weight (1e-3 for holders, 1e-6 now). Rankings differ only for hosts below a thousandth of a core.

--- a/packages/proxy/include/lovagemoor/proxy/relay/relay_choice.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/relay/relay_choice.hpp
@@ -5,7 +5,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <string_view>
 #include <vector>
 
 /// @file
@@ -24,11 +23,6 @@
 /// Time over which the hosts of a lost relay spread their calls to the registry.
 constexpr std::chrono::milliseconds relay_loss_spread{500};
 
-/// @return The score of a candidate in weighted rendezvous hashing: the highest one is chosen, each
-/// candidate in proportion to its weight.
-[[nodiscard]] double weighted_rendezvous_score(std::string_view key, std::string_view candidate,
-                                               double weight);
-
 /// @return The relays of a failure domain, best first. Depends only on the list, so hosts with the
 /// same list agree.
 [[nodiscard]] std::vector<core::host_id> relays_of_domain(const std::vector<link_peer>& peers,
--- a/packages/proxy/src/lending/holder_ranking.cpp
+++ b/packages/proxy/src/lending/holder_ranking.cpp
@@ -1,9 +1,9 @@
 #include <lovagemoor/proxy/lending/holder_ranking.hpp>
 
 #include <lovagemoor/core/placement.hpp>
+#include <lovagemoor/proxy/link/weighted_rendezvous.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <cstdint>
 #include <utility>
 
@@ -19,10 +19,8 @@
 /// @{
 constexpr std::size_t scarce_connections = 2;
 constexpr std::size_t scarce_hosts = 3;
-/// @}
 
-/// Weight of a host that announces none, or an invalid one.
-constexpr double min_weight = 1e-3;
+/// @}
 
 struct ranked_peer {
     /// 0 for hosts of the target's failure domain, 1 for those of its region, 2 for others.
@@ -31,17 +29,6 @@
     const link_peer* peer = nullptr;
 };
 
-/// @return Score by weighted rendezvous hashing: the share of keys for which a host has the highest
-/// one is proportional to its weight.
-double weighted_score(const std::string& key, const link_peer& peer) {
-    constexpr double weights = 18446744073709551616.0; // 2^64
-    const double hashed = static_cast<double>(core::rendezvous_weight(key, peer.host.value));
-    // Strictly between 0 and 1, so that the logarithm is finite and not 0.
-    const double uniform = std::clamp((hashed + 0.5) / weights, 1e-18, 1 - 1e-15);
-    const double weight = peer.weight > min_weight ? peer.weight : min_weight;
-    return -weight / std::log(uniform);
-}
-
 int distance_of(const link_peer& peer, const holder_query& query) {
     if (peer.domain == query.domain) {
         return 0;
@@ -58,8 +45,9 @@
     std::vector<internal::ranked_peer> ranked;
     ranked.reserve(peers.size());
     for (const link_peer& peer : peers) {
-        ranked.push_back({internal::distance_of(peer, query),
-                          internal::weighted_score(query.target.value, peer), &peer});
+        ranked.push_back(
+            {internal::distance_of(peer, query),
+             weighted_rendezvous_score(query.target.value, peer.host.value, peer.weight), &peer});
     }
     std::sort(ranked.begin(), ranked.end(),
               [](const internal::ranked_peer& left, const internal::ranked_peer& right) {
--- a/packages/proxy/test/relay/relay_choice_test.cpp
+++ b/packages/proxy/test/relay/relay_choice_test.cpp
@@ -1,5 +1,7 @@
 #include <lovagemoor/proxy/relay/relay_choice.hpp>
 
+#include <lovagemoor/proxy/link/weighted_rendezvous.hpp>
+
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
