Log statements that end without an answer

No line told what a session held when it ended, which statements arrived at a closed session, or whether a process ended by itself in a planned stop. No change of logic.

--- a/packages/gateway/include/lovagemoor/gateway/caller_listener.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/caller_listener.hpp
@@ -58,6 +58,19 @@
 /// @return The name used in logs and metrics.
 [[nodiscard]] const char* to_string(caller_close_reason reason) noexcept;
 
+/// @brief Statements of a caller that are discarded because this host has closed its session.
+struct discarded_statements {
+    proxy::session_id session = 0;
+    /// Identifies the first of them; empty if none has been read.
+    std::string first_id;
+    /// Number of statements that were read.
+    std::size_t count = 0;
+    /// Bytes that had arrived but were not read when the session was closed.
+    std::size_t unread_bytes = 0;
+    /// Time between the close and their arrival; empty if they had arrived before.
+    std::optional<std::chrono::milliseconds> since_close;
+};
+
 /// @brief What a caller_listener needs to know about the rest of the host.
 struct caller_accounting {
     /// @return What is held for a session beside its connection.
@@ -66,6 +79,8 @@
     std::function<std::size_t()> shared_bytes;
     /// @brief Called for each connection that is closed or not accepted.
     std::function<void(caller_close_reason)> on_closed;
+    /// @brief Called for statements that get no answer because this host has closed the session.
+    std::function<void(const discarded_statements&)> on_discarded;
 };
 
 /// @brief Accepts the callers' connections, decodes their lines into events for the engine, and
@@ -136,6 +151,7 @@
     /// Closes a connection with an error, or at once if its caller does not read what it was sent.
     void close_with(proxy::session_id session, caller_close_reason reason);
     void report_closed(caller_close_reason reason) const;
+    void report_discarded(proxy::session_id session, const discarded_input& input) const;
 
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer retry_timer_;
--- a/packages/gateway/include/lovagemoor/gateway/line_stream.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/line_stream.hpp
@@ -37,6 +37,16 @@
     std::chrono::milliseconds idle{0};
 };
 
+/// @brief Input of a stream that was closed before its handler saw it.
+struct discarded_input {
+    /// Bytes that were read. Valid during the call only.
+    std::string_view bytes;
+    /// Bytes that had arrived but were not read when the stream was closed.
+    std::size_t unread_bytes = 0;
+    /// Time between close() and the arrival of the bytes; empty for what had arrived before.
+    std::optional<std::chrono::milliseconds> since_close;
+};
+
 /// @brief A TCP connection that carries lines of text, which end with CR LF. Not thread-safe: use
 /// it only on the thread of its io_context.
 class line_stream : public std::enable_shared_from_this<line_stream> {
@@ -88,6 +98,10 @@
     /// start().
     void set_too_large_handler(std::function<void()> on_too_large);
 
+    /// @brief Shall be told of input that is discarded because close() was called: what had arrived
+    /// before, and what arrives later. Call it before start().
+    void set_discard_handler(std::function<void(const discarded_input&)> on_discarded);
+
     /// @brief Reads again after the gate has refused. Does nothing otherwise.
     void resume_input();
 
@@ -136,6 +150,8 @@
     /// @return False if the stream has ended or must not read on.
     [[nodiscard]] bool process_input(std::string_view received);
     void report_too_large();
+    /// @param held Bytes that were read and not delivered.
+    void report_discarded(std::string_view held);
     void discard_input();
     /// Schedules update_input().
     void post_update();
@@ -156,6 +172,7 @@
     output_handler on_output_changed_;
     input_gate gate_;
     std::function<void()> on_too_large_;
+    std::function<void(const discarded_input&)> on_discarded_;
     /// Received bytes that have not been delivered: the start of a line, and the lines that follow
     /// while the input is paused.
     std::string input_;
@@ -181,6 +198,7 @@
     /// Writing failed.
     bool failed_ = false;
     bool closing_ = false;
+    clock::time_point closed_at_;
     std::optional<boost::asio::steady_timer> linger_timer_;
     bool ended_ = false;
 };
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -160,11 +160,13 @@
                             .on_received = [this](std::size_t bytes) { budget_.add(bytes); }});
     stream->set_too_large_handler(
         [this, session] { close_with(session, caller_close_reason::message_too_large); });
+    stream->set_discard_handler(
+        [this, session](const discarded_input& input) { report_discarded(session, input); });
     stream->start([this, session](std::string_view line) { on_line(session, line); },
                   [this, session](stream_end /*reason*/) {
                       callers_.erase(session);
                       held_.erase(session);
-                      sink_(proxy::session_closed{session});
+                      sink_(proxy::session_closed{session, proxy::session_end::connection_lost});
                   });
 }
 
@@ -197,7 +199,7 @@
                        sender.stream->abort();
                        callers_.erase(session);
                        held_.erase(session);
-                       sink_(proxy::session_closed{session});
+                       sink_(proxy::session_closed{session, proxy::session_end::terminated});
                    },
                    [&](malformed_message& malformed) {
                        reject(session, {proxy::statement_error_kind::malformed, malformed.reason,
@@ -209,7 +211,7 @@
 
 void caller_listener::reject(proxy::session_id session, proxy::statement_error error) {
     perform(proxy::reject_session{session, std::move(error)});
-    sink_(proxy::session_closed{session});
+    sink_(proxy::session_closed{session, proxy::session_end::malformed});
 }
 
 std::string& caller_listener::output_of(proxy::session_id session) {
@@ -476,7 +478,7 @@
         perform(proxy::reject_session{session, internal::error_of(reason)});
     }
     report_closed(reason);
-    sink_(proxy::session_closed{session});
+    sink_(proxy::session_closed{session, proxy::session_end::caller_limit});
 }
 
 void caller_listener::report_closed(caller_close_reason reason) const {
@@ -485,4 +487,26 @@
     }
 }
 
+void caller_listener::report_discarded(proxy::session_id session,
+                                       const discarded_input& input) const {
+    if (!accounting_.on_discarded) {
+        return;
+    }
+    discarded_statements discarded{session, {}, 0, input.unread_bytes, input.since_close};
+    std::string_view rest = input.bytes;
+    for (std::size_t end = rest.find("\r\n"); end != std::string_view::npos;
+         end = rest.find("\r\n")) {
+        const caller_message message = codec_.decode_caller_line(rest.substr(0, end));
+        if (const auto* const statement = std::get_if<proxy::statement>(&message)) {
+            if (discarded.count++ == 0) {
+                discarded.first_id = statement->id;
+            }
+        }
+        rest.remove_prefix(end + 2);
+    }
+    if (discarded.count > 0 || discarded.unread_bytes > 0) {
+        accounting_.on_discarded(discarded);
+    }
+}
+
 } // namespace lovagemoor::gateway
--- a/packages/gateway/src/line_stream.cpp
+++ b/packages/gateway/src/line_stream.cpp
@@ -74,6 +74,10 @@
     on_too_large_ = std::move(on_too_large);
 }
 
+void line_stream::set_discard_handler(std::function<void(const discarded_input&)> on_discarded) {
+    on_discarded_ = std::move(on_discarded);
+}
+
 stream_usage line_stream::usage() const {
     stream_usage result;
     result.input_bytes = input_.size();
@@ -145,6 +149,9 @@
 
 bool line_stream::process_input(std::string_view received) {
     if (closing_) {
+        if (on_discarded_ && !received.empty()) {
+            on_discarded_({received, 0, internal::elapsed_since(closed_at_)});
+        }
         return !ended_;
     }
     // Lines are only copied if they are not complete.
@@ -157,6 +164,9 @@
     const std::size_t delivered = deliver_lines(pending, direct ? 0 : scanned_);
     delivering_ = false;
     if (ended_ || closing_) {
+        if (closing_) {
+            report_discarded(pending.substr(delivered));
+        }
         discard_input();
         return !ended_;
     }
@@ -247,6 +257,17 @@
     }
 }
 
+void line_stream::report_discarded(std::string_view held) {
+    if (!on_discarded_) {
+        return;
+    }
+    boost::system::error_code ignored;
+    const std::size_t unread = socket_.available(ignored);
+    if (!held.empty() || unread > 0) {
+        on_discarded_({held, unread, std::nullopt});
+    }
+}
+
 void line_stream::discard_input() {
     if (!delivering_) {
         internal::release(input_);
@@ -362,6 +383,10 @@
 
 void line_stream::close() {
     closing_ = true;
+    closed_at_ = clock::now();
+    if (!delivering_) {
+        report_discarded(input_);
+    }
     discard_input();
     flush();
     if ((input_paused_ || input_held_) && !ended_ && !delivering_) {
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -39,8 +39,35 @@
     proxy::statement statement;
 };
 
+/// @brief Why a session ended.
+enum class session_end : std::uint8_t {
+    /// The caller closed its connection, or the connection failed.
+    connection_lost,
+    /// The caller ended the session with a message.
+    terminated,
+    /// The caller sent a message that is malformed or outside of the session's order.
+    malformed,
+    /// The caller exceeded a limit of this host.
+    caller_limit,
+    /// @name Chosen by the engine
+    /// @{
+    /// The caller sent more statements ahead than the protocol allows.
+    too_many_statements,
+    /// The session had an answer after which it was to end.
+    finished,
+    /// This host stops.
+    stopping,
+    /// This host reaches no target outside its failure domain.
+    isolated,
+    /// @}
+};
+
+/// @return The name used in logs and metrics.
+[[nodiscard]] const char* to_string(session_end reason) noexcept;
+
 struct session_closed {
     session_id session = 0;
+    session_end reason = session_end::connection_lost;
 };
 
 /// @brief The bytes that wait to be sent to a caller have exceeded the limit, or no longer do.
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -187,7 +187,9 @@
     [[nodiscard]] bool all_answered(const session& caller) const;
     /// @brief Closes sessions that were to end after their last answer.
     void close_finished_sessions();
-    void close_sessions(const std::vector<session_id>& ids);
+    void close_sessions(const std::vector<session_id>& ids, session_end reason);
+    /// @brief Logs and counts the statements of a session that ends without answers to them.
+    void report_unanswered(const session& caller, session_end reason);
     [[nodiscard]] std::shared_ptr<const route> find_route(const std::string& database) const;
     /// @brief Result of identify(): an organisation, empty for a caller that needs no key.
     using identification = boost::outcome_v2::checked<core::organisation_id, statement_error>;
--- a/packages/proxy/include/lovagemoor/proxy/session/session.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/session/session.hpp
@@ -48,6 +48,9 @@
     running,
 };
 
+/// @return The name used in logs.
+[[nodiscard]] const char* to_string(request_phase phase) noexcept;
+
 /// @brief The resource for which a request waits.
 enum class wait_reason : std::uint8_t { none, primary, connection, quota };
 
--- a/packages/proxy/src/engine/session_engine.cpp
+++ b/packages/proxy/src/engine/session_engine.cpp
@@ -75,7 +75,7 @@
         log(core::log_event::level::warning, "session_closed",
             {{"session", std::to_string(caller.id)}, {"reason", "too many statements ahead"}});
         out_.emplace_back(close_session{caller.id});
-        on(session_closed{caller.id});
+        on(session_closed{caller.id, session_end::too_many_statements});
         return;
     }
     caller.backlog.push_back(input.statement);
@@ -88,6 +88,7 @@
         return;
     }
     session& caller = found->second;
+    report_unanswered(caller, input.reason);
     if (caller.transaction.has_value() && !caller.current.has_value()) {
         detach_transaction(caller);
     }
--- a/packages/proxy/src/engine/session_engine_isolation.cpp
+++ b/packages/proxy/src/engine/session_engine_isolation.cpp
@@ -47,7 +47,7 @@
             idle.push_back(id);
         }
     }
-    close_sessions(idle);
+    close_sessions(idle, session_end::isolated);
 }
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/src/engine/session_engine_periodic.cpp
+++ b/packages/proxy/src/engine/session_engine_periodic.cpp
@@ -266,7 +266,7 @@
             idle.push_back(id);
         }
     }
-    close_sessions(idle);
+    close_sessions(idle, session_end::stopping);
     if (since > settings_.stop_grace - settings_.stop_grace / unsent_grace_divisor) {
         refuse_unsent_requests();
     }
--- a/packages/proxy/src/engine/session_engine_sessions.cpp
+++ b/packages/proxy/src/engine/session_engine_sessions.cpp
@@ -15,6 +15,44 @@
 
 } // namespace internal
 
+const char* to_string(request_phase phase) noexcept {
+    switch (phase) {
+    case request_phase::waiting:
+        return "waiting";
+    case request_phase::checking:
+        return "checking";
+    case request_phase::confirmed:
+        return "confirmed";
+    case request_phase::beginning:
+        return "beginning";
+    case request_phase::running:
+        return "running";
+    }
+    return "unknown";
+}
+
+const char* to_string(session_end reason) noexcept {
+    switch (reason) {
+    case session_end::connection_lost:
+        return "connection_lost";
+    case session_end::terminated:
+        return "terminated";
+    case session_end::malformed:
+        return "malformed";
+    case session_end::caller_limit:
+        return "caller_limit";
+    case session_end::too_many_statements:
+        return "too_many_statements";
+    case session_end::finished:
+        return "finished";
+    case session_end::stopping:
+        return "stopping";
+    case session_end::isolated:
+        return "isolated";
+    }
+    return "unknown";
+}
+
 std::shared_ptr<const route> session_engine::find_route(const std::string& database) const {
     if (!configuration_.has_value()) {
         return nullptr;
@@ -325,13 +363,40 @@
     answer(caller, std::move(result));
 }
 
-void session_engine::close_sessions(const std::vector<session_id>& ids) {
+void session_engine::close_sessions(const std::vector<session_id>& ids, session_end reason) {
     for (const session_id id : ids) {
         out_.emplace_back(close_session{id});
-        on(session_closed{id});
+        on(session_closed{id, reason});
     }
 }
 
+void session_engine::report_unanswered(const session& caller, session_end reason) {
+    if (!caller.current.has_value() && caller.backlog.empty()) {
+        return;
+    }
+    const statement& first =
+        caller.current.has_value() ? caller.current->work : caller.backlog.front();
+    const target_connection* const connection =
+        caller.current.has_value() ? pool_.find(caller.current->connection) : nullptr;
+    const core::duration age =
+        caller.current.has_value() ? now_ - caller.current->received : core::duration::zero();
+    log(core::log_event::level::info, "session_ended_unanswered",
+        {{"session", std::to_string(caller.id)},
+         {"database", caller.database},
+         {"reason", to_string(reason)},
+         {"id", first.id},
+         {"phase", caller.current.has_value() ? to_string(caller.current->phase) : "not_begun"},
+         {"statements",
+          std::to_string(caller.backlog.size() + (caller.current.has_value() ? 1 : 0))},
+         {"target", connection != nullptr ? connection->target.value : "none"},
+         {"holder", connection != nullptr && connection->holder.has_value()
+                        ? connection->holder->value
+                        : "none"},
+         {"age_ms",
+          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count())}});
+    count("lovagemoor_sessions_ended_unanswered_total", {{"reason", to_string(reason)}});
+}
+
 bool session_engine::all_answered(const session& caller) const {
     return !caller.current.has_value() && caller.backlog.empty() &&
            (!caller.close_after.has_value() || now_ >= *caller.close_after);
@@ -350,7 +415,7 @@
         (all_answered(found->second) ? done : waiting).push_back(id);
     }
     finished_sessions_ = std::move(waiting);
-    close_sessions(done);
+    close_sessions(done, session_end::finished);
 }
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -900,6 +900,40 @@
     BOOST_TEST(cluster.violations().empty());
 }
 
+// Guards against statements that get no answer without a trace in the log (issue 45).
+BOOST_AUTO_TEST_CASE(a_session_that_ends_with_unanswered_statements_is_logged) {
+    fake_cluster cluster = started();
+    const auto logged = [&] {
+        std::vector<core::log_event> events = cluster.performed<core::log_event>();
+        std::erase_if(events, [](const core::log_event& line) {
+            return line.name != "session_ended_unanswered";
+        });
+        return events;
+    };
+    const session_id answered = cluster.open("latest");
+    cluster.send(answered, kind::read, "x");
+    cluster.run_for(100ms);
+    cluster.apply(session_closed{answered});
+    BOOST_TEST(logged().empty());
+    cluster.targets.at(t0).lost_answers = 1;
+    const session_id waiting = cluster.open("latest");
+    const std::string first = cluster.send(waiting, kind::write, "x");
+    cluster.send(waiting, kind::write, "y");
+    cluster.run_for(50ms);
+    cluster.apply(session_closed{waiting, session_end::caller_limit});
+    BOOST_REQUIRE(logged().size() == 1U);
+    const std::vector<std::pair<std::string, std::string>> fields = logged().front().fields;
+    for (const std::pair<std::string, std::string>& expected :
+         std::vector<std::pair<std::string, std::string>>{{"reason", "caller_limit"},
+                                                          {"id", first},
+                                                          {"phase", "running"},
+                                                          {"statements", "2"},
+                                                          {"target", "t0"}}) {
+        BOOST_TEST((std::find(fields.begin(), fields.end(), expected) != fields.end()),
+                   expected.first);
+    }
+}
+
 // Guards against a connection flood. A waiting request opened a further connection each time it was
 // dispatched again, and connects occupied the targets' slots (found on halgeld-pool-grown).
 BOOST_AUTO_TEST_CASE(a_waiting_request_opens_one_connection) {
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -462,7 +462,17 @@
         internal::now() - *stop_requested_at_ < settings_.stop_grace - internal::stop_margin;
     // Other hosts may still use connections of this one.
     const bool lends = lending_.has_value() && lending_->lends();
-    if (!in_time || (!callers_.closing() && !lends)) {
+    const bool closing = callers_.closing();
+    if (!in_time || (!closing && !lends)) {
+        const core::duration taken = stop_requested_at_.has_value()
+                                         ? internal::now() - *stop_requested_at_
+                                         : core::duration{0};
+        log(core::log_event::level::info, "stop_completed",
+            {{"after_ms",
+              std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(taken).count())},
+             {"open_connections", std::to_string(callers_.session_count())},
+             {"closing", closing ? "true" : "false"},
+             {"lends", lends ? "true" : "false"}});
         context_.stop();
     }
 }
@@ -1205,7 +1215,23 @@
 gateway::caller_accounting session_host::make_caller_accounting() {
     return {.memory_of = [this](proxy::session_id id) { return engine_.memory_of(id); },
             .shared_bytes = [this] { return targets_.required_bytes(); },
-            .on_closed = [this](gateway::caller_close_reason reason) { on_caller_closed(reason); }};
+            .on_closed = [this](gateway::caller_close_reason reason) { on_caller_closed(reason); },
+            .on_discarded =
+                [this](const gateway::discarded_statements& discarded) {
+                    on_statements_discarded(discarded);
+                }};
+}
+
+void session_host::on_statements_discarded(const gateway::discarded_statements& discarded) {
+    const bool late = discarded.since_close.has_value();
+    log(core::log_event::level::info, "statements_discarded",
+        {{"session", std::to_string(discarded.session)},
+         {"id", discarded.first_id.empty() ? "none" : discarded.first_id},
+         {"statements", std::to_string(discarded.count)},
+         {"unread_bytes", std::to_string(discarded.unread_bytes)},
+         {"since_close_ms", late ? std::to_string(discarded.since_close->count()) : "none"}});
+    metrics_.perform(core::count_metric{"lovagemoor_statements_discarded_total",
+                                        {{"arrived", late ? "after_close" : "before_close"}}});
 }
 
 void session_host::on_caller_closed(gateway::caller_close_reason reason) {
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -123,6 +123,7 @@
     answer_request(const gateway::http_server::request& request) const;
     [[nodiscard]] gateway::caller_accounting make_caller_accounting();
     void on_caller_closed(gateway::caller_close_reason reason);
+    void on_statements_discarded(const gateway::discarded_statements& discarded);
     void log_rejected_item(const char* name, const proxy::registry_item& item);
     void log(core::log_event::level severity, const char* name,
              std::vector<std::pair<std::string, std::string>> fields);
