Read what has arrived before a session is closed

Callers saw: in a planned stop, a session ended although a statement of it had been sent, and sometimes long before. The engine closes a session when all statements that it knows are answered, but a statement may lie in the socket, or in line_stream behind a turn's 32 lines. line_stream::close() then read and discarded it. On a busy host, more than loss_slack_ms may lie between its arrival and the close (LOST). Change: the engine asks for the session's input (drain_session) and closes it only if session_drained finds nothing unanswered, in the same event, so that nothing arrives between the last read and the close. It holds for all ends that the engine chooses: stop, last answer, isolation.

--- a/packages/gateway/include/lovagemoor/gateway/caller_listener.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/caller_listener.hpp
@@ -95,12 +95,16 @@
     caller_listener(boost::asio::io_context& context, const std::string& address,
                     caller_limits limits, statement_codec codec, event_sink sink);
 
+    /// @return The port that this listener has been given.
+    [[nodiscard]] std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
     /// @brief Without it, only what the connections hold is accounted for.
     void set_accounting(caller_accounting accounting);
 
     void perform(const proxy::accept_session& action);
     void perform(const proxy::reject_session& action);
     void perform(const proxy::answer_statement& action);
+    void perform(const proxy::drain_session& action);
     void perform(const proxy::close_session& action);
 
     /// @brief Sends the output that perform() has buffered.
--- a/packages/gateway/include/lovagemoor/gateway/line_stream.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/line_stream.hpp
@@ -61,6 +61,8 @@
     static constexpr std::size_t lines_per_turn = 32;
     /// Number of bytes that are read at a time.
     static constexpr std::size_t read_bytes = std::size_t{32} * 1024;
+    /// Number of reads of one drain(): a message of the largest size.
+    static constexpr std::size_t reads_per_drain = max_line_bytes / read_bytes;
     /// Time for a peer to close its side after this one has been closed. Several round trips.
     static constexpr std::chrono::milliseconds linger_time{500};
 
@@ -123,6 +125,12 @@
     /// @brief Sends the contents of the output buffer.
     void flush();
 
+    /// @brief Reads and delivers what has arrived, also if the gate would refuse. Must not be
+    /// called by a handler of the stream.
+    /// @return False if more may have arrived, which can be delivered once other connections have
+    /// had their turn.
+    [[nodiscard]] bool drain();
+
     /// @brief Closes the stream once the output buffer has been sent and the peer has closed its
     /// side, or linger_time later. Lines that arrive meanwhile are discarded. To close a connection
     /// with unread bytes resets it, and the peer would lose what it has not read.
@@ -139,6 +147,12 @@
 
     void wait_readable();
     void read_available();
+    /// Outcome of a read: nothing had arrived, all of it was delivered, or the input must not be
+    /// read on.
+    enum class receipt : std::uint8_t { nothing, delivered, stopped };
+
+    /// Reads once and delivers what was read.
+    [[nodiscard]] receipt receive();
     /// Delivers what was received, then reads on unless the input has to wait.
     void continue_input();
     /// @param bytes Bytes that follow those of input_, or all of input_.
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -245,6 +245,20 @@
     perform(proxy::close_session{action.session});
 }
 
+void caller_listener::perform(const proxy::drain_session& action) {
+    // Not from within this call, as the engine may be in the middle of an event.
+    boost::asio::post(acceptor_.get_executor(), [this, action] {
+        const auto found = callers_.find(action.session);
+        const std::shared_ptr<line_stream> stream =
+            found == callers_.end() ? nullptr : found->second.stream;
+        if (stream != nullptr && !stream->drain()) {
+            perform(action);
+        } else {
+            sink_(proxy::session_drained{action.session});
+        }
+    });
+}
+
 void caller_listener::perform(const proxy::close_session& action) {
     const auto found = callers_.find(action.session);
     if (found != callers_.end()) {
--- a/packages/gateway/src/line_stream.cpp
+++ b/packages/gateway/src/line_stream.cpp
@@ -113,29 +113,49 @@
 }
 
 void line_stream::read_available() {
-    static thread_local std::array<char, read_bytes> buffer;
     if (!closing_ && gate_.may_read && !gate_.may_read() && !closing_) {
         input_held_ = !ended_;
         return;
     }
+    // One read at a time: a peer that sends faster than its lines are processed would otherwise
+    // keep all others waiting.
+    if (receive() != receipt::stopped) {
+        wait_readable();
+    }
+}
+
+line_stream::receipt line_stream::receive() {
+    static thread_local std::array<char, read_bytes> buffer;
     boost::system::error_code error;
     const std::size_t received = socket_.read_some(boost::asio::buffer(buffer), error);
-    if (error && error != boost::asio::error::would_block) {
+    if (error == boost::asio::error::would_block) {
+        return receipt::nothing;
+    }
+    if (error) {
         close_and_report(stream_end::closed);
-        return;
+        return receipt::stopped;
+    }
+    received_at_ = clock::now();
+    if (!closing_ && gate_.on_received) {
+        gate_.on_received(received);
     }
-    if (!error) {
-        received_at_ = clock::now();
-        if (!closing_ && gate_.on_received) {
-            gate_.on_received(received);
+    return process_input(std::string_view{buffer.data(), received}) ? receipt::delivered
+                                                                    : receipt::stopped;
+}
+
+bool line_stream::drain() {
+    for (std::size_t reads = 0; reads < reads_per_drain; ++reads) {
+        if (ended_ || closing_ || input_paused_) {
+            return true;
         }
-        if (!process_input(std::string_view{buffer.data(), received})) {
-            return;
+        if (awaits_turn_) {
+            return false;
+        }
+        if (receive() == receipt::nothing) {
+            return true;
         }
     }
-    // One read at a time: a peer that sends faster than its lines are processed would otherwise
-    // keep all others waiting.
-    wait_readable();
+    return false;
 }
 
 void line_stream::resume_input() {
--- a/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
@@ -37,6 +37,11 @@
     statement_result result;
 };
 
+/// @brief Asks for all statements that have arrived at a session, followed by session_drained.
+struct drain_session {
+    session_id session = 0;
+};
+
 /// @brief Closes a caller's connection after all pending answers have been sent.
 struct close_session {
     session_id session = 0;
@@ -162,11 +167,12 @@
 struct stop_process {};
 
 using action =
-    std::variant<accept_session, reject_session, answer_statement, close_session, open_target,
-                 send_commands, close_target, return_target, publish_suspicion, withdraw_suspicion,
-                 follow_promotions, acquire_promotion_lock, publish_demotion, restore_demotion,
-                 list_demotions, contact_registry, promote_target, request_quota, set_ready,
-                 stop_process, core::log_event, core::count_metric, core::observe_duration>;
+    std::variant<accept_session, reject_session, answer_statement, drain_session, close_session,
+                 open_target, send_commands, close_target, return_target, publish_suspicion,
+                 withdraw_suspicion, follow_promotions, acquire_promotion_lock, publish_demotion,
+                 restore_demotion, list_demotions, contact_registry, promote_target, request_quota,
+                 set_ready, stop_process, core::log_event, core::count_metric,
+                 core::observe_duration>;
 
 using action_list = std::vector<action>;
 
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -70,6 +70,11 @@
     session_end reason = session_end::connection_lost;
 };
 
+/// @brief All statements have been passed on that had arrived at the session a moment ago.
+struct session_drained {
+    session_id session = 0;
+};
+
 /// @brief The bytes that wait to be sent to a caller have exceeded the limit, or no longer do.
 struct session_output_changed {
     session_id session = 0;
@@ -340,16 +345,15 @@
 /// @brief The time returned by session_engine::next_wakeup() is reached.
 struct timer_expired {};
 
-using event =
-    std::variant<session_opened, statement_received, session_closed, session_output_changed,
-                 target_connected, loan_queued, target_replied, target_disconnected,
-                 configuration_changed, configuration_confirmed, targets_listed, target_changed,
-                 target_removed, hosts_listed, link_peers_listed, suspicions_listed,
-                 suspicion_reported, suspicion_withdrawn, suspicion_publish_failed,
-                 suspicion_withdrawal_failed, promotion_lock_answered, promotion_lock_taken,
-                 promotion_lock_released, promotion_answered, demotion_announced, demotions_listed,
-                 demotion_publish_answered, demotion_restore_answered, registry_contacted,
-                 registry_reachable, registry_restored, quota_answered, quota_owner_unreachable,
-                 quota_floor_changed, stop_requested, timer_expired>;
+using event = std::variant<
+    session_opened, statement_received, session_closed, session_drained, session_output_changed,
+    target_connected, loan_queued, target_replied, target_disconnected, configuration_changed,
+    configuration_confirmed, targets_listed, target_changed, target_removed, hosts_listed,
+    link_peers_listed, suspicions_listed, suspicion_reported, suspicion_withdrawn,
+    suspicion_publish_failed, suspicion_withdrawal_failed, promotion_lock_answered,
+    promotion_lock_taken, promotion_lock_released, promotion_answered, demotion_announced,
+    demotions_listed, demotion_publish_answered, demotion_restore_answered, registry_contacted,
+    registry_reachable, registry_restored, quota_answered, quota_owner_unreachable,
+    quota_floor_changed, stop_requested, timer_expired>;
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -126,6 +126,7 @@
     void on(const session_opened& input);
     void on(const statement_received& input);
     void on(const session_closed& input);
+    void on(const session_drained& input);
     void on(const session_output_changed& input);
     void on(const target_connected& input);
     void on(const loan_queued& input);
@@ -187,7 +188,12 @@
     [[nodiscard]] bool all_answered(const session& caller) const;
     /// @brief Closes sessions that were to end after their last answer.
     void close_finished_sessions();
+    /// @brief Closes sessions, unless statements of them have arrived that this host has not read.
     void close_sessions(const std::vector<session_id>& ids, session_end reason);
+    /// @return True if a session may end for the reason: nothing of it is unanswered.
+    [[nodiscard]] bool may_end(const session& caller, session_end reason) const;
+    /// @return True if this host stops and no longer takes statements outside of transactions.
+    [[nodiscard]] bool refuses_statements() const;
     /// @brief Logs and counts the statements of a session that ends without answers to them.
     void report_unanswered(const session& caller, session_end reason);
     [[nodiscard]] std::shared_ptr<const route> find_route(const std::string& database) const;
--- a/packages/proxy/include/lovagemoor/proxy/session/session.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/session/session.hpp
@@ -117,6 +117,8 @@
     /// to another service and back.
     std::map<core::service_id, replication_position> seen;
     bool close_when_idle = false;
+    /// The session ends for this reason as soon as its input has been drained.
+    std::optional<session_end> ending;
     /// Time from which a session that is to end is closed once all of its statements are answered.
     /// Set with the first answer after which it could be closed.
     std::optional<core::time_point> close_after;
--- a/packages/proxy/src/engine/session_engine.cpp
+++ b/packages/proxy/src/engine/session_engine.cpp
@@ -112,10 +112,7 @@
         return;
     }
     // Later in a stop, statements outside of transactions are refused, and transactions must end.
-    const bool refuses_statements =
-        stopping_since_.has_value() &&
-        now_ - *stopping_since_ > settings_.stop_grace / statement_grace_divisor;
-    found->second.output_above_limit = input.above_limit && !refuses_statements;
+    found->second.output_above_limit = input.above_limit && !refuses_statements();
     resumable_.push_back(input.session);
 }
 
--- a/packages/proxy/src/engine/session_engine_sessions.cpp
+++ b/packages/proxy/src/engine/session_engine_sessions.cpp
@@ -365,9 +365,37 @@
 
 void session_engine::close_sessions(const std::vector<session_id>& ids, session_end reason) {
     for (const session_id id : ids) {
-        out_.emplace_back(close_session{id});
-        on(session_closed{id, reason});
+        const auto found = sessions_.find(id);
+        if (found != sessions_.end() && !found->second.ending.has_value()) {
+            found->second.ending = reason;
+            out_.emplace_back(drain_session{id});
+        }
+    }
+}
+
+void session_engine::on(const session_drained& input) {
+    const auto found = sessions_.find(input.session);
+    if (found == sessions_.end() || !found->second.ending.has_value()) {
+        return;
     }
+    const session_end reason = *std::exchange(found->second.ending, std::nullopt);
+    if (may_end(found->second, reason)) {
+        out_.emplace_back(close_session{input.session});
+        on(session_closed{input.session, reason});
+    }
+}
+
+bool session_engine::may_end(const session& caller, session_end reason) const {
+    const bool may_abort =
+        reason == session_end::stopping && stopping_since_.has_value() &&
+        now_ - *stopping_since_ > settings_.stop_grace / transaction_grace_divisor;
+    return !caller.current.has_value() && caller.backlog.empty() &&
+           (caller.state == session_state::idle || may_abort);
+}
+
+bool session_engine::refuses_statements() const {
+    return stopping_since_.has_value() &&
+           now_ - *stopping_since_ > settings_.stop_grace / statement_grace_divisor;
 }
 
 void session_engine::report_unanswered(const session& caller, session_end reason) {
--- a/packages/proxy/test/engine/fake_cluster.hpp
+++ b/packages/proxy/test/engine/fake_cluster.hpp
@@ -496,6 +496,8 @@
     std::vector<host_record> hosts;
     /// Called when a caller has received an answer.
     std::function<void(session_id)> answered;
+    /// Called when the host asks for what has arrived at a session. May send statements.
+    std::function<void(session_id)> before_drained;
     /// The registry answers this host.
     bool registry_available = true;
 
@@ -589,6 +591,14 @@
                        },
                        [this](const return_target& value) { give_back(value.connection, false); },
                        [this](const answer_statement& value) { record_answer(value); },
+                       [this](const drain_session& value) {
+                           after(core::duration{0}, [this, id = value.session] {
+                               if (before_drained) {
+                                   before_drained(id);
+                               }
+                               apply(session_drained{id});
+                           });
+                       },
                        [this](const close_session& value) { end_session(value.session); },
                        [this](const list_demotions& /*value*/) { answer_demotions(); },
                        [this](const contact_registry& /*value*/) {
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -900,6 +900,58 @@
     BOOST_TEST(cluster.violations().empty());
 }
 
+namespace {
+
+struct unread_case {
+    const char* name;
+    core::duration stopping_for;
+    bool in_transaction;
+    const char* expected;
+
+    friend std::ostream& operator<<(std::ostream& output, const unread_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<unread_case> unread_cases{
+    {"after an answer", 50ms, false, ""},
+    {"when all idle sessions end", 1990ms, false, "this host is stopping"},
+    {"when open transactions end", 2990ms, true, "this host is stopping"},
+};
+
+} // namespace
+
+// Guards against a planned stop that closes a session although a statement of it has arrived, which
+// the host has not read yet (LOST, issue 45).
+BOOST_DATA_TEST_CASE(a_stop_answers_a_statement_that_was_unread_when_its_session_was_to_end,
+                     boost::unit_test::data::make(unread_cases), sample) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    if (sample.in_transaction) {
+        cluster.send(caller, kind::begin);
+        cluster.send(caller, kind::read, "x");
+    }
+    cluster.run_for(50ms);
+    cluster.apply(stop_requested{});
+    cluster.run_for(sample.stopping_for);
+    if (!sample.in_transaction) {
+        cluster.send(caller, kind::read, "x");
+    }
+    std::string unread;
+    cluster.before_drained = [&](session_id drained) {
+        if (unread.empty()) {
+            unread = cluster.send(drained, kind::read, "y");
+        }
+    };
+    cluster.run_for(200ms);
+    BOOST_REQUIRE(!unread.empty());
+    BOOST_TEST(error_of(cluster, unread) == sample.expected);
+    cluster.run_for(session_engine_settings{}.stop_grace - 2s);
+    BOOST_TEST(cluster.unanswered() == 0U);
+    BOOST_TEST(cluster.is_closed(caller));
+    BOOST_TEST(!cluster.performed<stop_process>().empty());
+}
+
 // Guards against statements that get no answer without a trace in the log (issue 45).
 BOOST_AUTO_TEST_CASE(a_session_that_ends_with_unanswered_statements_is_logged) {
     fake_cluster cluster = started();
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -430,6 +430,7 @@
                    [this](const proxy::accept_session& value) { callers_.perform(value); },
                    [this](const proxy::reject_session& value) { callers_.perform(value); },
                    [this](const proxy::answer_statement& value) { callers_.perform(value); },
+                   [this](const proxy::drain_session& value) { callers_.perform(value); },
                    [this](const proxy::close_session& value) { callers_.perform(value); },
                    [this](const proxy::open_target& value) {
                        if (lending_.has_value() && value.holder.has_value()) {
