Answer statements in progress before a stopping process is killed

Callers could see: a statement whose route allows more time than the grace time leaves had no answer. At 5 s of 6 only requests that wait for a target were refused; one that was checking, beginning or running kept its session, and with it the process, until SIGKILL. So did callers who kept opening sessions, as the process ended only at a moment without any. Change: in the last sixth of the grace time all requests that have not been sent are refused as not run, in the last eighth the others are answered in doubt, or as timed out if they only read; in the last twelfth the process ends. time_out_request and the stop share give_up_request.

--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -23,6 +23,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -278,6 +279,10 @@
     /// statement follows.
     void end_request(session& caller, statement_result result);
     void time_out_request(session& caller);
+    /// @brief Answers the current request without waiting for its target any longer: as not run, or
+    /// in doubt if it may have run.
+    void give_up_request(session& caller, const char* reason,
+                         std::chrono::milliseconds retry_after);
     [[nodiscard]] connection_limit limit_of(const target_state& target) const;
     void update_min_connections();
 
@@ -410,7 +415,12 @@
     [[nodiscard]] std::vector<core::connection_id> excess_connections() const;
     void close_excess_connections();
     void advance_shutdown();
+    /// @brief Refuses the requests that have not been sent to a target.
     void refuse_unsent_requests();
+    /// @brief Answers all requests before this process is killed.
+    void give_up_running_requests();
+    [[nodiscard]] std::vector<session_id>
+    sessions_with_request(const std::function<bool(const request&)>& selected) const;
     void advance_failovers();
     void update_promotion_following();
     void clear_reports();
@@ -461,9 +471,14 @@
     static constexpr int statement_grace_divisor = 3;
     /// Divisor for the part of stop_grace during which open transactions may continue.
     static constexpr int transaction_grace_divisor = 2;
-    /// Divisor for the last part of stop_grace, in which statements that still wait for a target
-    /// are refused.
+    /// Divisor for the last part of stop_grace, in which statements that have not been sent to a
+    /// target are refused.
     static constexpr int unsent_grace_divisor = 6;
+    /// Divisor for the last part of stop_grace, in which no answer of a target is awaited.
+    static constexpr int running_grace_divisor = 8;
+    /// Divisor for the last part of stop_grace, in which the process ends even if callers go on
+    /// opening sessions.
+    static constexpr int final_grace_divisor = 12;
 
     session_engine_settings settings_;
     core::id_source ids_;
--- a/packages/proxy/src/engine/session_engine_periodic.cpp
+++ b/packages/proxy/src/engine/session_engine_periodic.cpp
@@ -270,18 +270,38 @@
     if (since > settings_.stop_grace - settings_.stop_grace / unsent_grace_divisor) {
         refuse_unsent_requests();
     }
-    if (sessions_.empty() && since > statement_grace) {
+    if (since > settings_.stop_grace - settings_.stop_grace / running_grace_divisor) {
+        give_up_running_requests();
+    }
+    if ((sessions_.empty() && since > statement_grace) ||
+        since > settings_.stop_grace - settings_.stop_grace / final_grace_divisor) {
         out_.emplace_back(stop_process{});
     }
 }
 
 void session_engine::refuse_unsent_requests() {
-    for (auto& [id, caller] : sessions_) {
-        if (caller.current.has_value() && caller.current->phase == request_phase::waiting) {
-            refuse(caller, {statement_error_kind::busy, "this host is stopping",
-                            std::chrono::milliseconds{0}});
+    for (const session_id id : sessions_with_request(
+             [](const request& work) { return work.phase != request_phase::running; })) {
+        give_up_request(sessions_.at(id), "this host is stopping", std::chrono::milliseconds{0});
+    }
+}
+
+void session_engine::give_up_running_requests() {
+    for (const session_id id :
+         sessions_with_request([](const request& /*work*/) { return true; })) {
+        give_up_request(sessions_.at(id), "this host is stopping", std::chrono::milliseconds{0});
+    }
+}
+
+std::vector<session_id>
+session_engine::sessions_with_request(const std::function<bool(const request&)>& selected) const {
+    std::vector<session_id> found;
+    for (const auto& [id, caller] : sessions_) {
+        if (caller.current.has_value() && selected(*caller.current)) {
+            found.push_back(id);
         }
     }
+    return found;
 }
 
 void session_engine::forget_removed_hosts() {
--- a/packages/proxy/src/engine/session_engine_requests.cpp
+++ b/packages/proxy/src/engine/session_engine_requests.cpp
@@ -720,23 +720,29 @@
 
 void session_engine::time_out_request(session& caller) {
     const request& work = *caller.current;
+    const char* const reason =
+        work.phase == request_phase::running     ? "the target did not answer in time"
+        : work.waits_for == wait_reason::primary ? "no primary"
+        : work.waits_for == wait_reason::quota   ? "no token of the quota in time"
+                                                 : "no connection free";
+    give_up_request(caller, reason, settings_.search_interval);
+}
+
+void session_engine::give_up_request(session& caller, const char* reason,
+                                     std::chrono::milliseconds retry_after) {
+    const request& work = *caller.current;
+    const core::connection_id held = work.connection;
     if (work.phase != request_phase::running) {
-        const core::connection_id held = work.connection;
-        refuse(caller, {statement_error_kind::busy,
-                        work.waits_for == wait_reason::primary ? "no primary"
-                        : work.waits_for == wait_reason::quota ? "no token of the quota in time"
-                                                               : "no connection free",
-                        settings_.search_interval});
-        if (held != 0) {
-            drop_connection(held);
-        }
-        return;
+        refuse(caller, {statement_error_kind::busy, reason, retry_after});
+    } else {
+        const bool may_have_run = work.writes || work.work.kind == statement_kind::commit;
+        refuse(caller,
+               {may_have_run ? statement_error_kind::in_doubt : statement_error_kind::timeout,
+                reason, std::nullopt});
+    }
+    if (held != 0) {
+        drop_connection(held);
     }
-    const bool may_have_run = work.writes || work.work.kind == statement_kind::commit;
-    const core::connection_id held = work.connection;
-    refuse(caller, {may_have_run ? statement_error_kind::in_doubt : statement_error_kind::timeout,
-                    "the target did not answer in time", std::nullopt});
-    drop_connection(held);
 }
 
 } // namespace lovagemoor::proxy
--- a/packages/proxy/test/engine/fake_cluster.hpp
+++ b/packages/proxy/test/engine/fake_cluster.hpp
@@ -121,7 +121,8 @@
         const auto add = [&](const char* database, read_consistency reads,
                              std::chrono::milliseconds staleness,
                              const std::string& service = "s") {
-            route added{database, core::service_id{service}, reads, staleness, 1000ms, 200ms, 1};
+            route added{
+                database, core::service_id{service}, reads, staleness, statement_timeout, 200ms, 1};
             config.routes[database] = std::make_shared<const route>(added);
         };
         add("latest", read_consistency::latest, 0ms);
@@ -498,6 +499,8 @@
     /// Targets whose entries the registry has removed.
     std::set<core::target_id> unlisted;
     unsigned synchronous_replicas = 0;
+    /// Time limit of statements on all routes.
+    std::chrono::milliseconds statement_timeout{1000};
     std::vector<host_record> hosts;
     /// Called when a caller has received an answer.
     std::function<void(session_id)> answered;
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -952,6 +952,52 @@
     BOOST_TEST(!cluster.performed<stop_process>().empty());
 }
 
+namespace {
+
+struct last_answer_case {
+    const char* name;
+    statement_kind kind;
+    /// The answer to this command of the host is lost, or to the statement itself.
+    std::optional<command_kind> lost;
+    error_kind expected;
+
+    friend std::ostream& operator<<(std::ostream& output, const last_answer_case& value) {
+        return output << value.name;
+    }
+};
+
+const std::vector<last_answer_case> last_answer_cases{
+    {"a read that waits for the check of the primary", kind::read, command_kind::begin,
+     error_kind::busy},
+    {"a read that the target does not answer", kind::read, std::nullopt, error_kind::timeout},
+    {"a write that the target does not answer", kind::write, std::nullopt, error_kind::in_doubt},
+};
+
+} // namespace
+
+// Guards against statements without an answer at the end of the grace time: with a time limit of
+// the route that ends after it, the process was killed while they were in progress (issue 45).
+BOOST_DATA_TEST_CASE(a_stop_answers_statements_in_progress_before_the_process_is_killed,
+                     boost::unit_test::data::make(last_answer_cases), sample) {
+    fake_cluster cluster = started();
+    cluster.statement_timeout = 60s;
+    cluster.configure(2);
+    cluster.run_for(50ms);
+    cluster.apply(stop_requested{});
+    cluster.run_for(1s);
+    if (sample.lost.has_value()) {
+        cluster.targets.at(t0).lost_kind = sample.lost;
+    } else {
+        cluster.targets.at(t0).lost_answers = 1;
+    }
+    const std::string sent = cluster.send(cluster.open("latest"), sample.kind, "x");
+    cluster.run_for(session_engine_settings{}.stop_grace - 1s - 500ms);
+    BOOST_REQUIRE(cluster.answer(sent).has_value());
+    BOOST_REQUIRE(cluster.answer(sent)->result.error.has_value());
+    BOOST_TEST((cluster.answer(sent)->result.error->kind == sample.expected));
+    BOOST_TEST(!cluster.performed<stop_process>().empty());
+}
+
 // Guards against a planned stop that ends a session in the middle of an operation: the time before
 // the close was counted from the first answer, so that the next statement crossed the close (205
 // statements in 156 stops on pbft-lovagemoor-grown, issue 45).
