Close a session only once its answers are sent and its input is empty

A reviewer who hadn't seen the work found orders of events in which the close still discarded statements: an answer that is unsent (a slow caller, a full link) delays the close, and what its caller sends meanwhile was read and dropped, however late; a drain reported success while complete lines lay behind paused input; a statement that the drain itself had found was answered and the session closed in the same turn; in a transaction there was no quiet time; a caller rejected outside of a stop could stay by sending every 20 ms; the process ended without a trace of what was left. Change: a drain reads once and is complete only if nothing arrived, no line waits and no output is unsent; otherwise the session is drained again with the next timer event. The quiet time holds in all states, in the first half of a stop. resume_input() delivers held lines before it reads. Requests that are given up are looked up again, and sessions left at the end are logged. The orders with paused input and held reads have no test of their own.

--- a/packages/gateway/include/lovagemoor/gateway/line_stream.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/line_stream.hpp
@@ -61,8 +61,6 @@
     static constexpr std::size_t lines_per_turn = 32;
     /// Number of bytes that are read at a time.
     static constexpr std::size_t read_bytes = std::size_t{32} * 1024;
-    /// Number of reads of one drain(): a message of the largest size.
-    static constexpr std::size_t reads_per_drain = max_line_bytes / read_bytes;
     /// Time for a peer to close its side after this one has been closed. Several round trips.
     static constexpr std::chrono::milliseconds linger_time{500};
 
@@ -125,10 +123,10 @@
     /// @brief Sends the contents of the output buffer.
     void flush();
 
-    /// @brief Reads and delivers what has arrived, also if the gate would refuse. Must not be
+    /// @brief Reads once and delivers what has arrived, also if the gate would refuse. Must not be
     /// called by a handler of the stream.
-    /// @return False if more may have arrived, which can be delivered once other connections have
-    /// had their turn.
+    /// @return True if nothing had arrived and no output waits to be sent. A close would otherwise
+    /// discard statements, those included that the peer sends before it can learn of the close.
     [[nodiscard]] bool drain();
 
     /// @brief Closes the stream once the output buffer has been sent and the peer has closed its
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -251,11 +251,7 @@
         const auto found = callers_.find(action.session);
         const std::shared_ptr<line_stream> stream =
             found == callers_.end() ? nullptr : found->second.stream;
-        if (stream != nullptr && !stream->drain()) {
-            perform(action);
-        } else {
-            sink_(proxy::session_drained{action.session});
-        }
+        sink_(proxy::session_drained{action.session, stream == nullptr || stream->drain()});
     });
 }
 
--- a/packages/gateway/src/line_stream.cpp
+++ b/packages/gateway/src/line_stream.cpp
@@ -144,18 +144,14 @@
 }
 
 bool line_stream::drain() {
-    for (std::size_t reads = 0; reads < reads_per_drain; ++reads) {
-        if (ended_ || closing_ || input_paused_) {
-            return true;
-        }
-        if (awaits_turn_) {
-            return false;
-        }
-        if (receive() == receipt::nothing) {
-            return true;
-        }
+    if (ended_ || closing_) {
+        return true;
     }
-    return false;
+    input_paused_ = input_paused_ && must_pause();
+    if (awaits_turn_ || input_paused_ || unsent_bytes() > 0 || !process_input({})) {
+        return false;
+    }
+    return receive() == receipt::nothing;
 }
 
 void line_stream::resume_input() {
@@ -164,7 +160,7 @@
     }
     input_held_ = false;
     received_at_ = clock::now();
-    read_available();
+    continue_input();
 }
 
 bool line_stream::process_input(std::string_view received) {
--- a/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
@@ -37,7 +37,7 @@
     statement_result result;
 };
 
-/// @brief Asks for all statements that have arrived at a session, followed by session_drained.
+/// @brief Asks for the statements that have arrived at a session, followed by session_drained.
 struct drain_session {
     session_id session = 0;
 };
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -70,9 +70,12 @@
     session_end reason = session_end::connection_lost;
 };
 
-/// @brief All statements have been passed on that had arrived at the session a moment ago.
+/// @brief What had arrived at the session has been passed on.
 struct session_drained {
     session_id session = 0;
+    /// Nothing had arrived, and the caller has been sent all answers. Otherwise the session must
+    /// not be closed yet.
+    bool complete = true;
 };
 
 /// @brief The bytes that wait to be sent to a caller have exceeded the limit, or no longer do.
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -193,6 +193,8 @@
     void close_sessions(const std::vector<session_id>& ids, session_end reason);
     /// @return True if a session may end for the reason: nothing of it is unanswered.
     [[nodiscard]] bool may_end(const session& caller, session_end reason) const;
+    /// @brief Leaves the caller time for the next statement of an operation.
+    void put_off_close(session& caller) const;
     /// @return True if this host stops and no longer takes statements outside of transactions.
     [[nodiscard]] bool refuses_statements() const;
     /// @brief Logs and counts the statements of a session that ends without answers to them.
@@ -419,8 +421,7 @@
     void refuse_unsent_requests();
     /// @brief Answers all requests before this process is killed.
     void give_up_running_requests();
-    [[nodiscard]] std::vector<session_id>
-    sessions_with_request(const std::function<bool(const request&)>& selected) const;
+    void give_up_requests(const std::function<bool(const request&)>& selected);
     void advance_failovers();
     void update_promotion_following();
     void clear_reports();
--- a/packages/proxy/include/lovagemoor/proxy/session/session.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/session/session.hpp
@@ -120,7 +120,7 @@
     /// The session ends for this reason as soon as its input has been drained.
     std::optional<session_end> ending;
     /// Time from which a session that is to end is closed once all of its statements are answered.
-    /// Put off with each answer, until this host refuses statements because it stops.
+    /// Put off with each answer during the first half of a stop.
     std::optional<core::time_point> close_after;
     /// The caller has not read enough of the answers. No further statement is started.
     bool output_above_limit = false;
--- a/packages/proxy/src/engine/session_engine_periodic.cpp
+++ b/packages/proxy/src/engine/session_engine_periodic.cpp
@@ -273,35 +273,39 @@
     if (since > settings_.stop_grace - settings_.stop_grace / running_grace_divisor) {
         give_up_running_requests();
     }
-    if ((sessions_.empty() && since > statement_grace) ||
-        since > settings_.stop_grace - settings_.stop_grace / final_grace_divisor) {
+    const bool must_end = since > settings_.stop_grace - settings_.stop_grace / final_grace_divisor;
+    if (must_end) {
+        for (const auto& [id, caller] : sessions_) {
+            report_unanswered(caller, session_end::stopping);
+        }
+    }
+    if ((sessions_.empty() && since > statement_grace) || must_end) {
         out_.emplace_back(stop_process{});
     }
 }
 
 void session_engine::refuse_unsent_requests() {
-    for (const session_id id : sessions_with_request(
-             [](const request& work) { return work.phase != request_phase::running; })) {
-        give_up_request(sessions_.at(id), "this host is stopping", std::chrono::milliseconds{0});
-    }
+    give_up_requests([](const request& work) { return work.phase != request_phase::running; });
 }
 
 void session_engine::give_up_running_requests() {
-    for (const session_id id :
-         sessions_with_request([](const request& /*work*/) { return true; })) {
-        give_up_request(sessions_.at(id), "this host is stopping", std::chrono::milliseconds{0});
-    }
+    give_up_requests([](const request& /*work*/) { return true; });
 }
 
-std::vector<session_id>
-session_engine::sessions_with_request(const std::function<bool(const request&)>& selected) const {
-    std::vector<session_id> found;
+void session_engine::give_up_requests(const std::function<bool(const request&)>& selected) {
+    std::vector<session_id> candidates;
     for (const auto& [id, caller] : sessions_) {
         if (caller.current.has_value() && selected(*caller.current)) {
-            found.push_back(id);
+            candidates.push_back(id);
+        }
+    }
+    for (const session_id id : candidates) {
+        // The end of another request may have ended this one.
+        const auto found = sessions_.find(id);
+        if (found != sessions_.end() && found->second.current.has_value()) {
+            give_up_request(found->second, "this host is stopping", std::chrono::milliseconds{0});
         }
     }
-    return found;
 }
 
 void session_engine::forget_removed_hosts() {
--- a/packages/proxy/src/engine/session_engine_sessions.cpp
+++ b/packages/proxy/src/engine/session_engine_sessions.cpp
@@ -93,10 +93,6 @@
         session& caller = found->second;
         if (caller.backlog.empty()) {
             if (caller.close_when_idle && caller.state == session_state::idle) {
-                // Statements that are refused must not put off the end of the process.
-                const core::time_point quiet = now_ + settings_.close_delay;
-                caller.close_after =
-                    refuses_statements() ? caller.close_after.value_or(quiet) : quiet;
                 finished_sessions_.push_back(id);
             }
             return;
@@ -353,6 +349,9 @@
     if (caller.transaction.has_value()) {
         caller.transaction->idle_since = now_;
     }
+    if (caller.close_when_idle) {
+        put_off_close(caller);
+    }
     out_.emplace_back(answer_statement{caller.id, std::move(result)});
 }
 
@@ -382,9 +381,11 @@
         return;
     }
     const session_end reason = *std::exchange(found->second.ending, std::nullopt);
-    if (may_end(found->second, reason)) {
+    if (input.complete && may_end(found->second, reason)) {
         out_.emplace_back(close_session{input.session});
         on(session_closed{input.session, reason});
+    } else if (reason == session_end::finished) {
+        finished_sessions_.push_back(input.session);
     }
 }
 
@@ -392,8 +393,16 @@
     const bool may_abort =
         reason == session_end::stopping && stopping_since_.has_value() &&
         now_ - *stopping_since_ > settings_.stop_grace / transaction_grace_divisor;
-    return !caller.current.has_value() && caller.backlog.empty() &&
-           (caller.state == session_state::idle || may_abort);
+    return all_answered(caller) && (caller.state == session_state::idle || may_abort);
+}
+
+void session_engine::put_off_close(session& caller) const {
+    const core::time_point quiet = now_ + settings_.close_delay;
+    // A caller that goes on sending statements although they are refused must not stay for good.
+    const bool may_go_on =
+        stopping_since_.has_value() &&
+        now_ - *stopping_since_ <= settings_.stop_grace / transaction_grace_divisor;
+    caller.close_after = may_go_on ? quiet : caller.close_after.value_or(quiet);
 }
 
 bool session_engine::refuses_statements() const {
--- a/packages/proxy/test/engine/fake_cluster.hpp
+++ b/packages/proxy/test/engine/fake_cluster.hpp
@@ -504,6 +504,8 @@
     std::vector<host_record> hosts;
     /// Called when a caller has received an answer.
     std::function<void(session_id)> answered;
+    /// Number of further drains that report unsent output.
+    unsigned incomplete_drains = 0;
     /// Called when the host asks for what has arrived at a session. May send statements.
     std::function<void(session_id)> before_drained;
     /// The registry answers this host.
@@ -600,7 +602,8 @@
                                if (before_drained) {
                                    before_drained(id);
                                }
-                               apply(session_drained{id});
+                               apply(session_drained{id, incomplete_drains == 0});
+                               incomplete_drains -= incomplete_drains > 0 ? 1 : 0;
                            });
                        },
                        [this](const close_session& value) { end_session(value.session); },
--- a/packages/proxy/test/engine/session_engine_test.cpp
+++ b/packages/proxy/test/engine/session_engine_test.cpp
@@ -1025,6 +1025,45 @@
     BOOST_TEST(cluster.unanswered() == 0U);
 }
 
+// Guards against a close right after the answer to a statement that the drain of the session had
+// found (review of issue 45), and against a session that stays open because its output was unsent.
+BOOST_AUTO_TEST_CASE(a_session_is_drained_again_after_a_drain_that_found_something) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    cluster.run_for(50ms);
+    cluster.apply(stop_requested{});
+    cluster.run_for(50ms);
+    cluster.send(caller, kind::set, "v", "1");
+    cluster.incomplete_drains = 3;
+    std::size_t drains = 0;
+    cluster.before_drained = [&](session_id drained) {
+        if (++drains == 2) {
+            cluster.send(drained, kind::set, "w", "1");
+        }
+    };
+    cluster.run_for(60ms);
+    BOOST_TEST(!cluster.is_closed(caller));
+    cluster.run_for(200ms);
+    BOOST_TEST(drains > 3U);
+    BOOST_TEST(cluster.is_closed(caller));
+    BOOST_TEST(cluster.unanswered() == 0U);
+}
+
+// Guards against a caller that is rejected and goes on sending, and whose session never ended.
+BOOST_AUTO_TEST_CASE(a_rejected_caller_that_goes_on_sending_is_closed) {
+    fake_cluster cluster = started();
+    const session_id caller = cluster.open("latest");
+    cluster.run_for(50ms);
+    cluster.apply(stop_requested{});
+    cluster.run_for(session_engine_settings{}.stop_grace / 2);
+    for (int sent = 0; sent < 20 && !cluster.is_closed(caller); ++sent) {
+        cluster.send(caller, kind::read, "x");
+        cluster.run_for(10ms);
+    }
+    BOOST_TEST(cluster.is_closed(caller));
+    BOOST_TEST(cluster.unanswered() == 0U);
+}
+
 // Guards against statements that get no answer without a trace in the log (issue 45).
 BOOST_AUTO_TEST_CASE(a_session_that_ends_with_unanswered_statements_is_logged) {
     fake_cluster cluster = started();
