Decide in one place when a stop may end a session

Cause: advance_shutdown() stated again what may_end() and refuses_statements() say: answered, idle or past the time for transactions, and past the third of the grace time in which statements run. One could change without the other. Change: advance_shutdown() calls both. The conditions are the same, as half of the grace time lies behind the third. Measured: proxy_test 1,363 cases without an error; process_connection_lending, process_drain and process_session_host tests pass; formatter and linter are clean on the file.

--- a/packages/proxy/src/engine/session_engine_periodic.cpp
+++ b/packages/proxy/src/engine/session_engine_periodic.cpp
@@ -249,20 +249,14 @@
         return;
     }
     const core::duration since = now_ - *stopping_since_;
-    const core::duration statement_grace = settings_.stop_grace / statement_grace_divisor;
     std::vector<session_id> idle;
     for (auto& [id, caller] : sessions_) {
         caller.close_when_idle = true;
-        if (since > statement_grace && caller.output_above_limit) {
+        if (refuses_statements() && caller.output_above_limit) {
             caller.output_above_limit = false;
             resumable_.push_back(id);
         }
-        const bool open_transaction = caller.state != session_state::idle;
-        const bool answered = all_answered(caller);
-        const bool may_close = since > statement_grace && answered && !open_transaction;
-        const bool must_abort = open_transaction && answered &&
-                                since > settings_.stop_grace / transaction_grace_divisor;
-        if (may_close || must_abort) {
+        if (refuses_statements() && may_end(caller, session_end::stopping)) {
             idle.push_back(id);
         }
     }
@@ -279,7 +273,7 @@
             report_unanswered(caller, session_end::stopping);
         }
     }
-    if ((sessions_.empty() && since > statement_grace) || must_end) {
+    if ((sessions_.empty() && refuses_statements()) || must_end) {
         out_.emplace_back(stop_process{});
     }
 }
