Log what fills a link and why a session was closed

Change: event traffic with the bytes by purpose and those that wait (one line in 5 s at most, from 625 kB on) and a counter; the reason in statements_discarded; the time since contact with a host of another failure domain in isolated (event peer_contacted); session_timed_out. Result: no decision changes; gateway_test and link_test pass.

--- a/packages/gateway/include/lovagemoor/gateway/caller_listener.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/caller_listener.hpp
@@ -61,6 +61,8 @@
 /// @brief Statements of a caller that are discarded because this host has closed its session.
 struct discarded_statements {
     proxy::session_id session = 0;
+    /// Why the session was closed.
+    proxy::session_end reason = proxy::session_end::finished;
     /// Identifies the first of them; empty if none has been read.
     std::string first_id;
     /// Number of statements that were read.
@@ -130,7 +132,9 @@
     void retry_accept();
     void add_session(boost::asio::ip::tcp::socket socket);
     void on_line(proxy::session_id session, std::string_view line);
-    void reject(proxy::session_id session, proxy::statement_error error);
+    void reject(proxy::session_id session, const proxy::statement_error& error);
+    void end_with_error(proxy::session_id session, const proxy::statement_error& error,
+                        proxy::session_end reason);
     [[nodiscard]] std::string& output_of(proxy::session_id session);
     [[nodiscard]] proxy::session_memory memory_of(proxy::session_id session) const;
     /// @return Number of descriptors in use, including those of sessions that are being closed.
@@ -155,7 +159,11 @@
     /// Closes a connection with an error, or at once if its caller does not read what it was sent.
     void close_with(proxy::session_id session, caller_close_reason reason);
     void report_closed(caller_close_reason reason) const;
-    void report_discarded(proxy::session_id session, const discarded_input& input) const;
+    /// Reports what the stream discards from now on with the reason for the end of its session.
+    void report_discarded_input(line_stream& stream, proxy::session_id session,
+                                proxy::session_end reason);
+    void report_discarded(proxy::session_id session, proxy::session_end reason,
+                          const discarded_input& input) const;
 
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer retry_timer_;
--- a/packages/gateway/include/lovagemoor/gateway/line_stream.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/line_stream.hpp
@@ -18,6 +18,8 @@
 enum class stream_end : std::uint8_t {
     /// The peer closed the connection, or the connection failed.
     closed,
+    /// The peer has not acknowledged what was sent to it, or no keep-alive probe.
+    timed_out,
     /// The peer sent a line that exceeds line_stream::max_line_bytes.
     too_large,
 };
@@ -99,7 +101,7 @@
     void set_too_large_handler(std::function<void()> on_too_large);
 
     /// @brief Shall be told of input that is discarded because close() was called: what had arrived
-    /// before, and what arrives later. Call it before start().
+    /// before, and what arrives later. Call it before close().
     void set_discard_handler(std::function<void(const discarded_input&)> on_discarded);
 
     /// @brief Reads again after the gate has refused. Does nothing otherwise.
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -160,14 +160,15 @@
                             .on_received = [this](std::size_t bytes) { budget_.add(bytes); }});
     stream->set_too_large_handler(
         [this, session] { close_with(session, caller_close_reason::message_too_large); });
-    stream->set_discard_handler(
-        [this, session](const discarded_input& input) { report_discarded(session, input); });
-    stream->start([this, session](std::string_view line) { on_line(session, line); },
-                  [this, session](stream_end /*reason*/) {
-                      callers_.erase(session);
-                      held_.erase(session);
-                      sink_(proxy::session_closed{session, proxy::session_end::connection_lost});
-                  });
+    stream->start(
+        [this, session](std::string_view line) { on_line(session, line); },
+        [this, session](stream_end reason) {
+            callers_.erase(session);
+            held_.erase(session);
+            sink_(proxy::session_closed{session, reason == stream_end::timed_out
+                                                     ? proxy::session_end::connection_timed_out
+                                                     : proxy::session_end::connection_lost});
+        });
 }
 
 void caller_listener::on_line(proxy::session_id session, std::string_view line) {
@@ -209,8 +210,8 @@
                decoded);
 }
 
-void caller_listener::reject(proxy::session_id session, proxy::statement_error error) {
-    perform(proxy::reject_session{session, std::move(error)});
+void caller_listener::reject(proxy::session_id session, const proxy::statement_error& error) {
+    end_with_error(session, error, proxy::session_end::malformed);
     sink_(proxy::session_closed{session, proxy::session_end::malformed});
 }
 
@@ -241,8 +242,13 @@
 }
 
 void caller_listener::perform(const proxy::reject_session& action) {
-    codec_.encode_rejection(action.error, output_of(action.session));
-    perform(proxy::close_session{action.session});
+    end_with_error(action.session, action.error, proxy::session_end::finished);
+}
+
+void caller_listener::end_with_error(proxy::session_id session, const proxy::statement_error& error,
+                                     proxy::session_end reason) {
+    codec_.encode_rejection(error, output_of(session));
+    perform(proxy::close_session{session, reason});
 }
 
 void caller_listener::perform(const proxy::drain_session& action) {
@@ -267,6 +273,7 @@
             return known == nullptr || !known->open();
         });
         closing_.push_back(stream);
+        report_discarded_input(*stream, action.session, action.reason);
         stream->close();
     }
 }
@@ -485,7 +492,7 @@
         unflushed_.erase(session);
         stream->abort();
     } else {
-        perform(proxy::reject_session{session, internal::error_of(reason)});
+        end_with_error(session, internal::error_of(reason), proxy::session_end::caller_limit);
     }
     report_closed(reason);
     sink_(proxy::session_closed{session, proxy::session_end::caller_limit});
@@ -497,12 +504,19 @@
     }
 }
 
-void caller_listener::report_discarded(proxy::session_id session,
+void caller_listener::report_discarded_input(line_stream& stream, proxy::session_id session,
+                                             proxy::session_end reason) {
+    stream.set_discard_handler([this, session, reason](const discarded_input& input) {
+        report_discarded(session, reason, input);
+    });
+}
+
+void caller_listener::report_discarded(proxy::session_id session, proxy::session_end reason,
                                        const discarded_input& input) const {
     if (!accounting_.on_discarded) {
         return;
     }
-    discarded_statements discarded{session, {}, 0, input.unread_bytes, input.since_close};
+    discarded_statements discarded{session, reason, {}, 0, input.unread_bytes, input.since_close};
     std::string_view rest = input.bytes;
     for (std::size_t end = rest.find("\r\n"); end != std::string_view::npos;
          end = rest.find("\r\n")) {
--- a/packages/gateway/src/line_stream.cpp
+++ b/packages/gateway/src/line_stream.cpp
@@ -132,7 +132,8 @@
         return receipt::nothing;
     }
     if (error) {
-        close_and_report(stream_end::closed);
+        close_and_report(error == boost::asio::error::timed_out ? stream_end::timed_out
+                                                                : stream_end::closed);
         return receipt::stopped;
     }
     received_at_ = clock::now();
--- a/packages/link/include/lovagemoor/link/host_link.hpp
+++ b/packages/link/include/lovagemoor/link/host_link.hpp
@@ -44,6 +44,8 @@
 /// @return The name used in logs and metrics.
 [[nodiscard]] const char* to_string(close_reason reason) noexcept;
 
+enum class transfer_direction : std::uint8_t { sent, received };
+
 struct link_settings {
     core::host_id self;
     /// Address to listen on, as ip:port.
@@ -77,6 +79,9 @@
     /// @brief A channel that was dialled or reported as open has ended. Called once for each, never
     /// from within a function of the link, and not for channels that close() has ended.
     std::function<void(channel_id, close_reason)> on_closed;
+    /// @brief A frame was appended to the output of a channel, or arrived. May be empty.
+    std::function<void(channel_id, frame::BodyCase kind, transfer_direction, std::size_t bytes)>
+        on_transfer{};
 };
 
 /// @brief Exchanges frames with other hosts over TCP. Not thread-safe: use it only on the thread of
@@ -108,6 +113,9 @@
     /// @brief Sets whether answers are outstanding. While they are, a silent channel is closed.
     void expect_answers(channel_id channel, bool expected);
 
+    /// @return Bytes of all channels that wait to be sent.
+    [[nodiscard]] std::size_t unsent_bytes() const;
+
     /// @return The port on which the link listens.
     [[nodiscard]] std::uint16_t port() const;
 
--- a/packages/link/src/host_link.cpp
+++ b/packages/link/src/host_link.cpp
@@ -192,8 +192,13 @@
 }
 
 void host_link::append(channel& target, const frame& message) {
+    const std::size_t before = target.output.size();
     internal::append_length(message.ByteSizeLong(), target.output);
     message.AppendToString(&target.output);
+    if (handlers_.on_transfer) {
+        handlers_.on_transfer(target.id, message.body_case(), transfer_direction::sent,
+                              target.output.size() - before);
+    }
 }
 
 void host_link::send(channel_id id, const frame& message) {
@@ -213,6 +218,14 @@
     }
 }
 
+std::size_t host_link::unsent_bytes() const {
+    std::size_t bytes = 0;
+    for (const auto& [id, known] : channels_) {
+        bytes += known->output.size() - known->sent;
+    }
+    return bytes;
+}
+
 void host_link::flush() {
     for (const channel_id id : std::exchange(unflushed_, {})) {
         const auto found = channels_.find(id);
@@ -312,6 +325,10 @@
             fail(source, close_reason::malformed);
             return false;
         }
+        if (handlers_.on_transfer) {
+            handlers_.on_transfer(source->id, message.body_case(), transfer_direction::received,
+                                  internal::length_bytes + length);
+        }
         alive = on_message(source, message);
     }
     if (alive) {
--- a/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/action.hpp
@@ -45,6 +45,8 @@
 /// @brief Closes a caller's connection after all pending answers have been sent.
 struct close_session {
     session_id session = 0;
+    /// Why it ends, for logs.
+    session_end reason = session_end::finished;
 };
 
 /// @}
--- a/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/event.hpp
@@ -43,6 +43,8 @@
 enum class session_end : std::uint8_t {
     /// The caller closed its connection, or the connection failed.
     connection_lost,
+    /// The caller has not acknowledged what was sent to it: answers may not have reached it.
+    connection_timed_out,
     /// The caller ended the session with a message.
     terminated,
     /// The caller sent a message that is malformed or outside of the session's order.
@@ -189,6 +191,9 @@
 
 /// @}
 
+/// @brief A host of another failure domain has sent something over the link.
+struct peer_contacted {};
+
 /// @brief Reports whether the registry can be reached.
 struct registry_reachable {
     bool reachable = false;
@@ -352,7 +357,7 @@
     session_opened, statement_received, session_closed, session_drained, session_output_changed,
     target_connected, loan_queued, target_replied, target_disconnected, configuration_changed,
     configuration_confirmed, targets_listed, target_changed, target_removed, hosts_listed,
-    link_peers_listed, suspicions_listed, suspicion_reported, suspicion_withdrawn,
+    link_peers_listed, peer_contacted, suspicions_listed, suspicion_reported, suspicion_withdrawn,
     suspicion_publish_failed, suspicion_withdrawal_failed, promotion_lock_answered,
     promotion_lock_taken, promotion_lock_released, promotion_answered, demotion_announced,
     demotions_listed, demotion_publish_answered, demotion_restore_answered, registry_contacted,
--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine.hpp
@@ -140,6 +140,7 @@
     void on(const target_removed& input);
     void on(const hosts_listed& input);
     void on(const link_peers_listed& input);
+    void on(const peer_contacted& input);
     void on(const suspicions_listed& input);
     void on(const suspicion_reported& input);
     void on(const suspicion_withdrawn& input);
@@ -525,6 +526,8 @@
     std::optional<core::time_point> stopping_since_;
     /// Time since which this host reaches no target outside its own failure domain.
     std::optional<core::time_point> isolated_since_;
+    /// Time of the last contact with a host of another failure domain.
+    std::optional<core::time_point> peer_contacted_at_;
     /// Time of the last request to list the demotions.
     std::optional<core::time_point> demotions_requested_at_;
     /// Time of the last request for contact with the registry.
--- a/packages/proxy/src/engine/session_engine.cpp
+++ b/packages/proxy/src/engine/session_engine.cpp
@@ -74,7 +74,7 @@
     if (caller.current.has_value() && caller.backlog.size() >= settings_.max_backlog) {
         log(core::log_event::level::warning, "session_closed",
             {{"session", std::to_string(caller.id)}, {"reason", "too many statements ahead"}});
-        out_.emplace_back(close_session{caller.id});
+        out_.emplace_back(close_session{caller.id, session_end::too_many_statements});
         on(session_closed{caller.id, session_end::too_many_statements});
         return;
     }
@@ -89,6 +89,11 @@
     }
     session& caller = found->second;
     report_unanswered(caller, input.reason);
+    if (input.reason == session_end::connection_timed_out) {
+        log(core::log_event::level::info, "session_timed_out",
+            {{"session", std::to_string(caller.id)}, {"database", caller.database}});
+        count("lovagemoor_sessions_timed_out_total", {});
+    }
     if (caller.transaction.has_value() && !caller.current.has_value()) {
         detach_transaction(caller);
     }
--- a/packages/proxy/src/engine/session_engine_isolation.cpp
+++ b/packages/proxy/src/engine/session_engine_isolation.cpp
@@ -5,6 +5,22 @@
 
 namespace lovagemoor::proxy {
 
+namespace internal {
+
+namespace {
+
+std::string milliseconds_text(core::duration time) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+} // namespace
+
+} // namespace internal
+
+void session_engine::on(const peer_contacted& /*input*/) {
+    peer_contacted_at_ = now_;
+}
+
 bool session_engine::is_isolated() const {
     std::size_t unreachable = 0;
     for (const auto& [id, target] : pool_.targets()) {
@@ -30,7 +46,10 @@
     if (isolated != isolated_since_.has_value()) {
         log(core::log_event::level::warning, isolated ? "isolated" : "isolation_ended",
             {{"failure_domain", settings_.domain.value},
-             {"targets", std::to_string(pool_.targets().size())}});
+             {"targets", std::to_string(pool_.targets().size())},
+             {"peer_contact_ms", peer_contacted_at_.has_value()
+                                     ? internal::milliseconds_text(now_ - *peer_contacted_at_)
+                                     : "none"}});
         isolated_since_ = isolated ? std::optional<core::time_point>{now_} : std::nullopt;
         update_ready();
     }
--- a/packages/proxy/src/engine/session_engine_sessions.cpp
+++ b/packages/proxy/src/engine/session_engine_sessions.cpp
@@ -35,6 +35,8 @@
     switch (reason) {
     case session_end::connection_lost:
         return "connection_lost";
+    case session_end::connection_timed_out:
+        return "connection_timed_out";
     case session_end::terminated:
         return "terminated";
     case session_end::malformed:
@@ -382,7 +384,7 @@
     }
     const session_end reason = *std::exchange(found->second.ending, std::nullopt);
     if (input.complete && may_end(found->second, reason)) {
-        out_.emplace_back(close_session{input.session});
+        out_.emplace_back(close_session{input.session, reason});
         on(session_closed{input.session, reason});
     } else if (reason == session_end::finished) {
         finished_sessions_.push_back(input.session);
--- a/programs/lovagemoord/src/link_router.hpp
+++ b/programs/lovagemoord/src/link_router.hpp
@@ -3,6 +3,7 @@
 #include <lovagemoor/link/host_link.hpp>
 #include <lovagemoor/proxy/link/link_peer.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
@@ -17,6 +18,17 @@
     using frame_handler = std::function<void(link::channel_id, const link::frame&)>;
     using close_handler = std::function<void(link::channel_id)>;
 
+    /// @brief A frame that was sent to a host or came from it. The domain is empty if it is not
+    /// known.
+    struct transfer {
+        core::domain_id domain;
+        link::frame::BodyCase kind = link::frame::BODY_NOT_SET;
+        link::transfer_direction direction = link::transfer_direction::sent;
+        std::size_t bytes = 0;
+    };
+
+    using transfer_handler = std::function<void(const transfer&)>;
+
     /// @throws boost::system::system_error if the address cannot be bound.
     link_router(boost::asio::io_context& context, link::link_settings settings);
 
@@ -33,6 +45,12 @@
     /// @param change +1 for a further outstanding answer, -1 for one that arrived.
     void change_expected_answers(link::channel_id channel, int change);
 
+    /// @brief Sets a function that is called with each frame that is sent or arrives.
+    void on_transfer(transfer_handler handler);
+
+    /// @return Bytes of all channels that wait to be sent.
+    [[nodiscard]] std::size_t unsent_bytes() const { return link_.unsent_bytes(); }
+
     /// @brief Sends what send() has buffered.
     void flush();
 
@@ -49,14 +67,18 @@
 private:
     struct peer {
         std::string address;
+        core::domain_id domain;
         link::channel_id channel = 0;
     };
 
+    [[nodiscard]] core::domain_id domain_of(link::channel_id channel) const;
+
     std::map<core::host_id, peer> peers_;
     std::map<link::channel_id, core::host_id> hosts_of_channels_;
     std::map<link::channel_id, int> expected_answers_;
     std::map<link::frame::BodyCase, frame_handler> frame_handlers_;
     std::vector<close_handler> close_handlers_;
+    transfer_handler transfer_handler_;
     std::vector<std::function<void(const std::string&, link::close_reason)>> end_handlers_;
     link::host_link link_;
 };
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -69,6 +69,10 @@
 /// not read all answers.
 constexpr std::chrono::milliseconds stop_margin{500};
 
+/// Shortest interval at which the engine learns of contact with hosts of other failure domains. A
+/// tenth of the time without contact after which this host may be cut off.
+constexpr std::chrono::milliseconds peer_contact_interval{100};
+
 /// Interval at which the host checks whether a call to the registry is due.
 constexpr std::chrono::milliseconds registry_poll_interval{100};
 
@@ -241,6 +245,8 @@
     if (!settings.link_listen.empty()) {
         open_link();
     }
+    registry_client_.set_read_observer(
+        [this](std::size_t bytes) { traffic_.add_registry_answer(bytes); });
     registry_client_.set_write_observer([this](platform_adapter::registry_client::write_kind kind) {
         const bool renewal = kind == platform_adapter::registry_client::write_kind::renewal;
         metrics_.perform(
@@ -300,6 +306,12 @@
         metrics_.perform(core::count_metric{"lovagemoor_link_closed_total",
                                             {{"reason", link::to_string(reason)}}});
     });
+    link_router_->on_transfer([this](const link_router::transfer& transferred) {
+        traffic_.add(transferred.kind, transferred.direction, transferred.bytes);
+        if (transferred.direction == link::transfer_direction::received) {
+            on_peer_heard(transferred.domain);
+        }
+    });
     lending_.emplace(
         context_, settings_.id, *link_router_, targets_,
         [this](const proxy::event& input) { handle(input); },
@@ -310,6 +322,17 @@
                            platform_adapter::encode_link(self));
 }
 
+void session_host::on_peer_heard(const core::domain_id& domain) {
+    const core::time_point now = internal::now();
+    const bool elsewhere = !domain.value.empty() && domain != settings_.domain;
+    if (!elsewhere || now - peer_heard_at_ < internal::peer_contact_interval) {
+        return;
+    }
+    peer_heard_at_ = now;
+    // Not from within this call, as the link is in the middle of reading the channel.
+    boost::asio::post(context_, [this] { handle(proxy::peer_contacted{}); });
+}
+
 void session_host::open_quota_exchange() {
     if (!link_router_.has_value()) {
         log(core::log_event::level::error, "quota_without_link",
@@ -511,6 +534,7 @@
     check_watches();
     prove_configuration();
     update_quota_exchange();
+    report_traffic();
     registry_timer_.expires_after(internal::registry_poll_interval);
     registry_timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
@@ -519,6 +543,16 @@
     });
 }
 
+void session_host::report_traffic() {
+    const std::size_t unsent = link_router_.has_value() ? link_router_->unsent_bytes() : 0;
+    const std::optional<core::log_event> line =
+        traffic_.take(internal::now(), unsent,
+                      [this](const core::count_metric& counted) { metrics_.perform(counted); });
+    if (line.has_value()) {
+        logger_.perform(*line);
+    }
+}
+
 void session_host::slow_down_hosts_polls() {
     if (hosts_polls_slowed_ || !link_router_.has_value() ||
         internal::now() - started_at_ < internal::first_hosts_polls_time) {
@@ -1227,12 +1261,14 @@
     const bool late = discarded.since_close.has_value();
     log(core::log_event::level::info, "statements_discarded",
         {{"session", std::to_string(discarded.session)},
+         {"reason", proxy::to_string(discarded.reason)},
          {"id", discarded.first_id.empty() ? "none" : discarded.first_id},
          {"statements", std::to_string(discarded.count)},
          {"unread_bytes", std::to_string(discarded.unread_bytes)},
          {"since_close_ms", late ? std::to_string(discarded.since_close->count()) : "none"}});
     metrics_.perform(core::count_metric{"lovagemoor_statements_discarded_total",
-                                        {{"arrived", late ? "after_close" : "before_close"}}});
+                                        {{"arrived", late ? "after_close" : "before_close"},
+                                         {"reason", proxy::to_string(discarded.reason)}}});
 }
 
 void session_host::on_caller_closed(gateway::caller_close_reason reason) {
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -5,6 +5,7 @@
 #include "link_router.hpp"
 #include "quota_exchange.hpp"
 #include "registry_relay.hpp"
+#include "traffic_report.hpp"
 
 #include <lovagemoor/gateway/caller_listener.hpp>
 #include <lovagemoor/gateway/http_server.hpp>
@@ -108,6 +109,8 @@
     void log_token_out_of_bounds(proxy::registry_revision revision);
     void maintain_registration();
     void open_link();
+    /// @brief A host of a failure domain has sent something.
+    void on_peer_heard(const core::domain_id& domain);
     /// @brief Reads the list of hosts less often once those that started together are known.
     void slow_down_hosts_polls();
     /// @brief Starts to enforce the quotas of organisations.
@@ -119,6 +122,7 @@
     /// pass on answers of the registry.
     void prove_configuration();
     void poll_registry();
+    void report_traffic();
     [[nodiscard]] gateway::http_server::response
     answer_request(const gateway::http_server::request& request) const;
     [[nodiscard]] gateway::caller_accounting make_caller_accounting();
@@ -163,6 +167,9 @@
     boost::asio::steady_timer registry_timer_;
     boost::asio::signal_set signals_;
     burst_counter caller_closes_;
+    traffic_report traffic_;
+    /// Time of the last contact with a host of another failure domain that the engine was told of.
+    core::time_point peer_heard_at_;
     bool ready_ = false;
     core::time_point started_at_;
     bool hosts_polls_slowed_ = false;
