Leave a caller time for its next statement before each close

What callers saw: a connection that ended while a statement was on its way: neither an answer nor a refusal. Cause: the quiet time before a close held for sessions that were to end already when they were answered, that is, in a stop. A host that takes itself for isolated closed idle sessions right after an answer; a session opened late in a stop was closed right after READY. Change: each session keeps the time at which its caller was last told something, and no engine-chosen end comes before close_delay (20 ms) after it. The bound for callers that go on sending in a stop stays.

--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
@@ -46,8 +46,8 @@
     /// sessions. By then, the load balancer routes new connections to other hosts (it needs two
     /// failed probes, one per second).
     std::chrono::milliseconds isolation_close_delay{2500};
-    /// Time between the last answer of a session that is to end, and its end. A caller sends the
-    /// next statement of an operation when it has the answer to the one before, and it would cross
+    /// Time between the greeting or the last answer of a session that is to end, and its end. A
+    /// caller sends the next statement when it has the answer to the one before, and it would cross
     /// the close. Several round trips to a caller.
     std::chrono::milliseconds close_delay{20};
     /// Idle timeout of connections above the minimum, which is half of the host's share. Closing
--- a/packages/proxy/include/lovagemoor/proxy/session/session.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/session/session.hpp
@@ -122,6 +122,8 @@
     /// Time from which a session that is to end is closed once all of its statements are answered.
     /// Put off with each answer during the first half of a stop.
     std::optional<core::time_point> close_after;
+    /// Time at which the caller was last told something: that it may begin, or an answer.
+    core::time_point last_output;
     /// The caller has not read enough of the answers. No further statement is started.
     bool output_above_limit = false;
 };
--- a/packages/proxy/src/engine/session_engine.cpp
+++ b/packages/proxy/src/engine/session_engine.cpp
@@ -42,6 +42,7 @@
     caller.id = input.session;
     caller.database = input.database;
     caller.key = input.key;
+    caller.last_output = now_;
     const std::shared_ptr<const route> via = find_route(input.database);
     if (configuration_.has_value() && via == nullptr) {
         out_.emplace_back(reject_session{
--- a/packages/proxy/src/engine/session_engine_isolation.cpp
+++ b/packages/proxy/src/engine/session_engine_isolation.cpp
@@ -61,8 +61,7 @@
 void session_engine::close_idle_sessions() {
     std::vector<session_id> idle;
     for (const auto& [id, caller] : sessions_) {
-        if (caller.state == session_state::idle && !caller.current.has_value() &&
-            caller.backlog.empty()) {
+        if (may_end(caller, session_end::isolated)) {
             idle.push_back(id);
         }
     }
--- a/packages/proxy/src/engine/session_engine_sessions.cpp
+++ b/packages/proxy/src/engine/session_engine_sessions.cpp
@@ -351,6 +351,7 @@
     if (caller.transaction.has_value()) {
         caller.transaction->idle_since = now_;
     }
+    caller.last_output = now_;
     if (caller.close_when_idle) {
         put_off_close(caller);
     }
@@ -441,7 +442,7 @@
 
 bool session_engine::all_answered(const session& caller) const {
     return !caller.current.has_value() && caller.backlog.empty() &&
-           (!caller.close_after.has_value() || now_ >= *caller.close_after);
+           now_ >= caller.close_after.value_or(caller.last_output + settings_.close_delay);
 }
 
 void session_engine::close_finished_sessions() {
