Do not take late probes for isolation while other hosts are heard

What callers saw: hosts that were not ready and closed their sessions though nothing was cut off; a statement that crossed such a close had no answer. Cause: isolation was decided by probes and connects that were late. They are also late if this host's link, or that of a holder, is full. Change: a frame of any kind from a host of another failure domain within the last second shows that this host is not cut off. Hosts without a link decide as before.

--- a/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/engine/session_engine_settings.hpp
@@ -42,6 +42,10 @@
     std::chrono::milliseconds contact_interval{300};
     /// A target counts as unreachable once it has failed for this long.
     std::chrono::milliseconds unreachable_after{200};
+    /// Time since a host of another failure domain was heard over the link for which this host is
+    /// not cut off, whatever its probes show: they are also late if its network link is full. The
+    /// link closes a channel after as much silence.
+    std::chrono::milliseconds peer_contact_retention{1000};
     /// Delay after which a host that reaches no target outside its failure domain closes idle
     /// sessions. By then, the load balancer routes new connections to other hosts (it needs two
     /// failed probes, one per second).
--- a/packages/proxy/src/engine/session_engine_isolation.cpp
+++ b/packages/proxy/src/engine/session_engine_isolation.cpp
@@ -22,6 +22,10 @@
 }
 
 bool session_engine::is_isolated() const {
+    if (peer_contacted_at_.has_value() &&
+        now_ - *peer_contacted_at_ < settings_.peer_contact_retention) {
+        return false;
+    }
     std::size_t unreachable = 0;
     for (const auto& [id, target] : pool_.targets()) {
         if (target.removed_at.has_value() || target.record.domain == settings_.domain) {
--- a/packages/proxy/test/engine/isolation_engine_test.cpp
+++ b/packages/proxy/test/engine/isolation_engine_test.cpp
@@ -35,6 +35,14 @@
     cluster.targets.at(t2).reachable = false;
 }
 
+/// @brief Hosts of other failure domains send something every 300 ms.
+void hear_peers(fake_cluster& cluster, core::duration time) {
+    for (core::duration passed{0}; passed < time; passed += 300ms) {
+        cluster.apply(peer_contacted{});
+        cluster.run_for(300ms);
+    }
+}
+
 bool is_ready(const fake_cluster& cluster) {
     const auto changes = cluster.performed<set_ready>();
     return !changes.empty() && changes.back().ready;
@@ -42,6 +50,19 @@
 
 } // namespace
 
+// Guards against a host that closes its sessions because its probes are late: its network link is
+// full, or that of the hosts through which it reaches the targets (issue 48).
+BOOST_AUTO_TEST_CASE(a_host_that_hears_other_domains_is_not_isolated) {
+    fake_cluster cluster = started();
+    lose_distant_targets(cluster);
+    hear_peers(cluster, 6s);
+    BOOST_TEST(is_ready(cluster));
+    BOOST_TEST(cluster.performed<close_session>().empty());
+    cluster.run_for(6s);
+    BOOST_TEST(!is_ready(cluster));
+    BOOST_TEST(!cluster.performed<close_session>().empty());
+}
+
 // Guards against statements that cross the close of their session, since it follows an answer at
 // once (issue 48).
 BOOST_AUTO_TEST_CASE(an_isolated_host_does_not_end_a_session_between_statements) {
