Do not give a response up while it is arriving

What callers saw: hosts that lost the registry and their relays after a configuration of 900 routes, and versions in force seconds late. Cause: the time limit of a call (800 ms) covered the whole response. One of 220 kB takes longer over a link of 10 Mbit/s that carries a few of them at once, so it was given up shortly before its end and asked for again. Change: the limit holds up to the first bytes and between two parts; the whole response has 7 s, 8 MiB over 10 Mbit/s.

--- a/packages/gateway/include/lovagemoor/gateway/http_client.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/http_client.hpp
@@ -20,9 +20,12 @@
     std::string target;
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
-    /// Time limit from the start of sending to the complete response. Opening a connection has a
-    /// limit of its own.
+    /// Time limit from the start of sending to the first bytes of the response. Opening a
+    /// connection has a limit of its own.
     std::chrono::milliseconds timeout{1000};
+    /// Time limit between two parts of the response. A large one takes longer than that in all
+    /// over a slow network link.
+    std::chrono::milliseconds pause_timeout{1000};
 };
 
 /// @brief Why a request got no response.
--- a/packages/gateway/src/http_client.cpp
+++ b/packages/gateway/src/http_client.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -29,6 +30,10 @@
 /// Limit on the size of a response body: a page of registry items in its encoded form.
 constexpr std::uint64_t max_body_bytes = 8U << 20U;
 
+/// Limit on the time for receiving a response, also if it keeps arriving: max_body_bytes over a
+/// network link of 10 Mbit/s.
+constexpr std::chrono::seconds transfer_timeout{7};
+
 /// Limit on the time for opening a connection, also for requests with a longer timeout.
 constexpr std::chrono::milliseconds connect_timeout{500};
 
@@ -70,6 +75,7 @@
         message_.body() = std::move(request.body);
         message_.prepare_payload();
         timeout_ = request.timeout;
+        pause_timeout_ = request.pause_timeout;
         if (connected_) {
             write();
             return;
@@ -107,13 +113,22 @@
     void read() {
         parser_.emplace();
         parser_->body_limit(internal::max_body_bytes);
-        http::async_read(
+        parser_->eager(true);
+        read_part();
+    }
+
+    void read_part() {
+        http::async_read_some(
             stream_, buffer_, *parser_,
             [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
                 if (error) {
                     self->finish(http_response{http_failure::no_response, 0, error.message()});
                     return;
                 }
+                if (!self->parser_->is_done()) {
+                    self->await_next_part();
+                    return;
+                }
                 http::response<http::string_body>& received = self->parser_->get();
                 self->reusable_ = received.keep_alive();
                 self->finish(http_response{http_failure::none, received.result_int(),
@@ -122,7 +137,17 @@
             });
     }
 
+    void await_next_part() {
+        const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
+        if (!receive_until_.has_value()) {
+            receive_until_ = now + internal::transfer_timeout;
+        }
+        stream_.expires_at(std::min(now + pause_timeout_, *receive_until_));
+        read_part();
+    }
+
     void finish(const http_response& response) {
+        receive_until_.reset();
         stream_.expires_never();
         parser_.reset();
         const handler done = std::exchange(done_, nullptr);
@@ -140,6 +165,9 @@
     http::request<http::string_body> message_;
     std::optional<http::response_parser<http::string_body>> parser_;
     std::chrono::milliseconds timeout_{0};
+    std::chrono::milliseconds pause_timeout_{0};
+    /// Time limit for the whole response. Empty until its first part has arrived.
+    std::optional<std::chrono::steady_clock::time_point> receive_until_;
     handler done_;
     bool connected_ = false;
     bool reusable_ = false;
--- a/packages/gateway/test/http_client_test.cpp
+++ b/packages/gateway/test/http_client_test.cpp
@@ -3,8 +3,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -82,6 +86,52 @@
     BOOST_TEST((call(context, client, request).failure == http_failure::no_response));
 }
 
+// Guards against a client that gives a large response up while it is arriving: a configuration of
+// 900 routes takes longer than the timeout of a call over a full network link (issue 48).
+BOOST_AUTO_TEST_CASE(a_response_that_keeps_arriving_is_not_given_up) {
+    boost::asio::io_context context;
+    tcp::acceptor acceptor{context, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    tcp::socket served{context};
+    boost::asio::steady_timer pause{context};
+    std::vector<std::string> parts(8, std::string(100, 'x'));
+    parts.front() = "HTTP/1.1 200 OK\r\nContent-Length: 700\r\n\r\n";
+    std::size_t sent = 0;
+    const std::function<void()> send_next = [&] {
+        if (sent == parts.size()) {
+            return;
+        }
+        boost::asio::write(served, boost::asio::buffer(parts.at(sent++)));
+        pause.expires_after(100ms);
+        pause.async_wait([&](const boost::system::error_code& /*error*/) { send_next(); });
+    };
+    acceptor.async_accept(served, [&](const boost::system::error_code& /*error*/) { send_next(); });
+    http_client client{context, "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())};
+    http_request request;
+    request.target = "/";
+    request.timeout = 400ms;
+    request.pause_timeout = 400ms;
+    const http_response response = call(context, client, request);
+    BOOST_TEST((response.failure == http_failure::none));
+    BOOST_TEST(response.body.size() == 700U);
+}
+
+// Guards against a client that waits for the rest of a response without limit.
+BOOST_AUTO_TEST_CASE(a_response_that_stops_arriving_is_given_up) {
+    boost::asio::io_context context;
+    tcp::acceptor acceptor{context, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    tcp::socket served{context};
+    acceptor.async_accept(served, [&](const boost::system::error_code& /*error*/) {
+        const std::string start = "HTTP/1.1 200 OK\r\nContent-Length: 700\r\n\r\nx";
+        boost::asio::write(served, boost::asio::buffer(start));
+    });
+    http_client client{context, "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())};
+    http_request request;
+    request.target = "/";
+    request.timeout = 1h;
+    request.pause_timeout = 100ms;
+    BOOST_TEST((call(context, client, request).failure == http_failure::no_response));
+}
+
 BOOST_AUTO_TEST_CASE(requests_are_answered_over_one_connection) {
     boost::asio::io_context context;
     http_server server{context, "127.0.0.1:0", [](const http_server::request& asked) {
