Choose the largest hosts of a domain as its relays

Cause: relays were drawn in proportion to their CPU share, so that hosts with a link of 10 Mbit/s were relays of most domains, though each had two with 200 Mbit/s. Change: the relays are the hosts of the largest share; equal ones are ordered by rendezvous hashing as before. Evidence: the_largest_hosts_of_a_domain_are_its_relays fails with the former choice and passes now.

--- a/packages/proxy/src/relay/relay_choice.cpp
+++ b/packages/proxy/src/relay/relay_choice.cpp
@@ -46,16 +46,18 @@
             candidates.push_back({peer.host, peer.weight});
         }
     }
-    const std::vector<core::host_id> ranked = rank("registry-relay/" + domain.value, candidates);
-    std::vector<candidate> chosen;
-    for (const core::host_id& host : ranked) {
-        if (chosen.size() < relays_per_domain) {
-            chosen.push_back(
-                *std::find_if(candidates.begin(), candidates.end(),
-                              [&host](const candidate& listed) { return listed.host == host; }));
-        }
+    std::vector<candidate> ordered;
+    for (const core::host_id& host : rank("registry-relay/" + domain.value, candidates)) {
+        ordered.push_back(
+            *std::find_if(candidates.begin(), candidates.end(),
+                          [&host](const candidate& listed) { return listed.host == host; }));
     }
-    return chosen;
+    // A relay reads and sends for its whole domain, so the largest hosts come first.
+    std::stable_sort(
+        ordered.begin(), ordered.end(),
+        [](const candidate& left, const candidate& right) { return left.weight > right.weight; });
+    ordered.resize(std::min(ordered.size(), relays_per_domain));
+    return ordered;
 }
 
 } // namespace
--- a/packages/proxy/test/relay/relay_choice_test.cpp
+++ b/packages/proxy/test/relay/relay_choice_test.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cstddef>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -78,6 +79,16 @@
     BOOST_TEST(relays_of_domain(peers, core::domain_id{"b"}).empty());
 }
 
+// Guards against a relay whose network link is filled by what it passes on (issue 48).
+BOOST_AUTO_TEST_CASE(the_largest_hosts_of_a_domain_are_its_relays) {
+    std::vector<link_peer> peers = make_peers(40);
+    peers.at(4).weight = 4;
+    peers.at(30).weight = 4;
+    const std::vector<core::host_id> relays = relays_of_domain(peers, core::domain_id{"a"});
+    BOOST_TEST((std::set<core::host_id>{relays.begin(), relays.end()} ==
+                std::set<core::host_id>{peers.at(4).host, peers.at(30).host}));
+}
+
 // Guards against small hosts that must serve as many others as large ones.
 BOOST_AUTO_TEST_CASE(hosts_are_chosen_in_proportion_to_their_weights) {
     int heavy_chosen = 0;
