Send large values of the registry between hosts as differences

Cause: a change of a few bytes travelled as the whole document to each host through relays, twice (watch and proof). Answers, loans and probes waited behind it. Change: requests name the large values that their sender has; a relay sends such a value as held, as the difference to a version that both have, or compressed (value_codec, libzstd). In a relay's history a large change takes the place of earlier ones of its key. New fields of link.proto are optional: hosts of earlier builds get plain values.

--- a/packages/proxy/include/lovagemoor/proxy/relay/registry_cache.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/relay/registry_cache.hpp
@@ -17,6 +17,9 @@
     /// Limits on the history of changes. A host that lags further behind lists the items again.
     std::size_t history_changes = 512;
     std::size_t history_bytes = std::size_t{1} << 20U;
+    /// From this size on, a change takes the place of earlier ones of its key: a host that lags
+    /// needs the last version of a large document only, and few versions fit in the history.
+    std::size_t superseded_bytes = 4096;
     /// Limit on the items of a page. At least one item is returned.
     std::size_t page_bytes = std::size_t{256} << 10U;
 };
--- a/packages/proxy/src/relay/registry_cache.cpp
+++ b/packages/proxy/src/relay/registry_cache.cpp
@@ -282,6 +282,13 @@
 }
 
 void registry_cache::append(const item_change& change) {
+    if (internal::size_of(change.item) >= settings_.superseded_bytes) {
+        std::erase_if(history_, [&](const item_change& earlier) {
+            const bool superseded = earlier.item.key == change.item.key;
+            history_bytes_ -= superseded ? internal::size_of(earlier.item) : 0;
+            return superseded;
+        });
+    }
     history_bytes_ += internal::size_of(change.item);
     history_.push_back(change);
 }
--- a/packages/proxy/src/relay/relay_service.cpp
+++ b/packages/proxy/src/relay/relay_service.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-/// Limit on the changes of an answer, so that it fits in a frame of the link.
-constexpr std::size_t max_answer_bytes = std::size_t{1} << 20U;
+/// Limit on the items of an answer, so that it fits in a frame of the link: the largest value of
+/// the registry (1 MiB) with its key and some small ones.
+constexpr std::size_t max_answer_bytes = (std::size_t{1} << 20U) + (std::size_t{64} << 10U);
 
 bool fits(std::size_t bytes, const registry_item& item) {
     return bytes + item.key.size() + item.value.size() <= max_answer_bytes;
--- a/packages/proxy/test/relay/registry_cache_test.cpp
+++ b/packages/proxy/test/relay/registry_cache_test.cpp
@@ -212,6 +212,25 @@
     BOOST_TEST((keys == std::vector<std::string>{"p/a", "p/b", "p/c"}));
 }
 
+// Guards against requesters that list a large document whole because its versions do not fit in the
+// history together (issue 48).
+BOOST_AUTO_TEST_CASE(a_large_change_takes_the_place_of_earlier_ones_of_its_key) {
+    registry_cache cache = make_cache();
+    for (registry_revision revision = 13; revision <= 20; ++revision) {
+        registry_item large = make_item("p/a", revision);
+        large.value.resize(300000, 'x');
+        cache.on_changes(start, start, {"p/", revision - 1, 25s},
+                         make_changes(revision, {{large, false}}));
+    }
+    item_changes answer;
+    BOOST_TEST((cache.watch(start, 1, {"p/", 10, 0s}, answer) == result::answered));
+    BOOST_TEST((answer.status == registry_status::done));
+    BOOST_TEST(answer.revision == 20U);
+    BOOST_TEST_REQUIRE(answer.changes.size() == 2U);
+    BOOST_TEST(answer.changes.front().item.key == "p/c");
+    BOOST_TEST(answer.changes.back().item.revision == 20U);
+}
+
 // Guards against a history that grows without bound on hosts with 112 MB.
 BOOST_AUTO_TEST_CASE(the_history_is_bounded) {
     for (const registry_cache_settings& settings : {registry_cache_settings{.history_changes = 3},
--- a/programs/lovagemoord/src/registry_relay.cpp
+++ b/programs/lovagemoord/src/registry_relay.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <utility>
 
@@ -39,7 +40,29 @@
         std::clamp<std::int64_t>(time.count(), 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
-link::frame encode(const proxy::relay_request& request) {
+/// @brief Names the values of which the requester needs no copy.
+template <typename Message>
+void set_held(Message& message, const std::vector<proxy::held_value>& held) {
+    message.set_accepts_encoded(true);
+    for (const proxy::held_value& value : held) {
+        link::v1::HeldValue& named = *message.add_held();
+        named.set_key(value.key);
+        named.set_revision(value.revision);
+        named.set_digest(value.digest);
+    }
+}
+
+template <typename Message>
+std::vector<proxy::held_value> held_of(const Message& message) {
+    std::vector<proxy::held_value> held;
+    for (const link::v1::HeldValue& value : message.held()) {
+        held.push_back({value.key(), value.revision(), value.digest()});
+    }
+    return held;
+}
+
+link::frame encode(const proxy::relay_request& request,
+                   const std::vector<proxy::held_value>& held) {
     link::frame message;
     std::visit(core::overloaded{
                    [&](const proxy::list_items& made) {
@@ -49,6 +72,7 @@
                        body.set_after_key(made.after_key);
                        body.set_may_be_stale(made.may_be_stale);
                        set_era(body, request.era);
+                       set_held(body, held);
                    },
                    [&](const proxy::watch_items& made) {
                        link::v1::RelayWatch& body = *message.mutable_relay_watch();
@@ -57,6 +81,7 @@
                        body.set_after_revision(made.after);
                        body.set_wait_ms(milliseconds_field(made.wait));
                        set_era(body, request.era);
+                       set_held(body, held);
                    },
                },
                request.call);
@@ -75,15 +100,34 @@
             era_of(body)};
 }
 
-void encode_item(const proxy::registry_item& item, link::v1::RelayItem& encoded) {
+using value_encoder = std::function<proxy::encoded_value(const proxy::registry_item&)>;
+
+void encode_item(const proxy::registry_item& item, const value_encoder& encode_value,
+                 link::v1::RelayItem& encoded) {
+    proxy::encoded_value value = encode_value(item);
     encoded.set_key(item.key);
-    encoded.set_value(item.value);
+    encoded.set_value(std::move(value.bytes));
+    encoded.set_encoding(static_cast<link::v1::ValueEncoding>(value.encoding));
+    encoded.set_base_revision(value.base);
     encoded.set_revision(item.revision);
     encoded.set_lease(item.lease);
 }
 
-proxy::registry_item decode_item(const link::v1::RelayItem& item) {
-    return {item.key(), item.value(), item.revision(), item.lease()};
+/// @return Empty if this host cannot decode the value.
+std::optional<proxy::registry_item> decode_item(const link::v1::RelayItem& item,
+                                                const proxy::value_codec& values) {
+    constexpr int last_encoding = static_cast<int>(proxy::value_encoding::held);
+    const int encoding = static_cast<int>(item.encoding());
+    if (encoding < 0 || encoding > last_encoding) {
+        return std::nullopt;
+    }
+    std::optional<std::string> value =
+        values.decode(item.key(), {static_cast<proxy::value_encoding>(encoding),
+                                   item.base_revision(), item.value()});
+    if (!value.has_value()) {
+        return std::nullopt;
+    }
+    return proxy::registry_item{item.key(), std::move(*value), item.revision(), item.lease()};
 }
 
 /// @brief Sets the fields that answers to lists and watches share.
@@ -97,7 +141,7 @@
     body.set_refusal(static_cast<link::v1::RelayRefusal>(answer.refusal));
 }
 
-link::frame encode(const proxy::relay_answer& answer) {
+link::frame encode(const proxy::relay_answer& answer, const value_encoder& encode_value) {
     link::frame message;
     std::visit(core::overloaded{
                    [&](const proxy::item_page& page) {
@@ -105,7 +149,7 @@
                        encode_result(answer, page, body);
                        body.set_more(page.more);
                        for (const proxy::registry_item& item : page.items) {
-                           encode_item(item, *body.add_items());
+                           encode_item(item, encode_value, *body.add_items());
                        }
                    },
                    [&](const proxy::item_changes& changes) {
@@ -113,7 +157,7 @@
                        encode_result(answer, changes, body);
                        for (const proxy::item_change& change : changes.changes) {
                            link::v1::RelayItem& encoded = *body.add_changes();
-                           encode_item(change.item, encoded);
+                           encode_item(change.item, encode_value, encoded);
                            encoded.set_removed(change.removed);
                        }
                    },
@@ -122,18 +166,20 @@
     return message;
 }
 
-/// @return An answer without its items. A value that this build does not know counts as a call that
-/// the relay cannot answer.
+/// @param complete False if a value could not be decoded.
+/// @return The answer. It counts as a call that the relay cannot answer if it is not complete or
+/// has a refusal that this build does not know.
 template <typename Message, typename Result>
-proxy::relay_answer decode_result(const Message& body, Result result) {
+proxy::relay_answer decode_result(const Message& body, Result result, bool complete) {
     constexpr auto last_status = static_cast<std::uint32_t>(proxy::registry_status::unknown);
     constexpr auto last_refusal = static_cast<int>(proxy::relay_refusal::not_relay);
     proxy::relay_answer answer;
     answer.number = body.number();
     const int refusal = static_cast<int>(body.refusal());
-    answer.refusal = refusal >= 0 && refusal <= last_refusal && body.status() <= last_status
-                         ? static_cast<proxy::relay_refusal>(refusal)
-                         : proxy::relay_refusal::not_held;
+    answer.refusal =
+        complete && refusal >= 0 && refusal <= last_refusal && body.status() <= last_status
+            ? static_cast<proxy::relay_refusal>(refusal)
+            : proxy::relay_refusal::not_held;
     result.status = body.status() <= last_status
                         ? static_cast<proxy::registry_status>(body.status())
                         : proxy::registry_status::unknown;
@@ -144,21 +190,31 @@
     return answer;
 }
 
-proxy::relay_answer decode(const link::v1::RelayPage& body) {
+proxy::relay_answer decode(const link::v1::RelayPage& body, const proxy::value_codec& values) {
     proxy::item_page page;
     page.more = body.more();
+    bool complete = true;
     for (const link::v1::RelayItem& item : body.items()) {
-        page.items.push_back(decode_item(item));
+        std::optional<proxy::registry_item> decoded = decode_item(item, values);
+        complete = complete && decoded.has_value();
+        if (decoded.has_value()) {
+            page.items.push_back(std::move(*decoded));
+        }
     }
-    return decode_result(body, std::move(page));
+    return decode_result(body, std::move(page), complete);
 }
 
-proxy::relay_answer decode(const link::v1::RelayChanges& body) {
+proxy::relay_answer decode(const link::v1::RelayChanges& body, const proxy::value_codec& values) {
     proxy::item_changes changes;
+    bool complete = true;
     for (const link::v1::RelayItem& item : body.changes()) {
-        changes.changes.push_back({decode_item(item), item.removed()});
+        std::optional<proxy::registry_item> decoded = decode_item(item, values);
+        complete = complete && decoded.has_value();
+        if (decoded.has_value()) {
+            changes.changes.push_back({std::move(*decoded), item.removed()});
+        }
     }
-    return decode_result(body, std::move(changes));
+    return decode_result(body, std::move(changes), complete);
 }
 
 } // namespace
@@ -225,31 +281,49 @@
 void registry_relay::receive_frames() {
     router_->on_frame(link::frame::kRelayList,
                       [this](link::channel_id channel, const link::frame& message) {
-                          source_.on_request(channel, internal::decode(message.relay_list()));
-                          router_->flush();
+                          on_request(channel, message.relay_list());
                       });
     router_->on_frame(link::frame::kRelayWatch,
                       [this](link::channel_id channel, const link::frame& message) {
-                          source_.on_request(channel, internal::decode(message.relay_watch()));
-                          router_->flush();
+                          on_request(channel, message.relay_watch());
                       });
     router_->on_frame(link::frame::kRelayPage,
                       [this](link::channel_id channel, const link::frame& message) {
-                          on_answer(channel, internal::decode(message.relay_page()));
+                          on_answer(channel, internal::decode(message.relay_page(), values_));
                       });
     router_->on_frame(link::frame::kRelayChanges,
                       [this](link::channel_id channel, const link::frame& message) {
-                          on_answer(channel, internal::decode(message.relay_changes()));
+                          on_answer(channel, internal::decode(message.relay_changes(), values_));
                       });
     router_->on_closed([this](link::channel_id channel) { on_closed(channel); });
 }
 
+template <typename Message>
+void registry_relay::on_request(link::channel_id channel, const Message& body) {
+    received_[{channel, body.number()}] = {body.accepts_encoded(), internal::held_of(body)};
+    source_.on_request(channel, internal::decode(body));
+    router_->flush();
+}
+
 void registry_relay::list(const proxy::list_items& made, purpose reason, page_handler done) {
-    source_.list(made, reason, std::move(done));
+    source_.list(made, reason,
+                 [this, done = std::move(done)](const proxy::item_page& page, const origin& from) {
+                     for (const proxy::registry_item& item : page.items) {
+                         values_.keep(item);
+                     }
+                     done(page, from);
+                 });
 }
 
 void registry_relay::watch(const proxy::watch_items& made, purpose reason, changes_handler done) {
-    source_.watch(made, reason, std::move(done));
+    source_.watch(
+        made, reason,
+        [this, done = std::move(done)](const proxy::item_changes& changes, const origin& from) {
+            for (const proxy::item_change& change : changes.changes) {
+                values_.keep(change.item);
+            }
+            done(changes, from);
+        });
 }
 
 void registry_relay::set_peers(const std::vector<proxy::link_peer>& peers) {
@@ -259,6 +333,7 @@
 }
 
 void registry_relay::on_restored() {
+    values_.clear();
     source_.on_restored();
 }
 
@@ -282,7 +357,7 @@
     }
     ++used.outstanding;
     router_->change_expected_answers(channel, 1);
-    router_->send(channel, internal::encode(request));
+    router_->send(channel, internal::encode(request, values_.held_below(request.prefix())));
     router_->flush();
     return true;
 }
@@ -296,7 +371,13 @@
 }
 
 void registry_relay::send_answer(link::channel_id channel, const proxy::relay_answer& answer) {
-    router_->send(channel, internal::encode(answer));
+    const auto request = received_.extract({channel, answer.number});
+    const bool accepts_encoded = !request.empty() && request.mapped().encoded;
+    const internal::value_encoder encode_value = [&](const proxy::registry_item& item) {
+        return accepts_encoded ? values_.encode(item, request.mapped().held)
+                               : proxy::encoded_value{proxy::value_encoding::plain, 0, item.value};
+    };
+    router_->send(channel, internal::encode(answer, encode_value));
     router_->flush();
 }
 
@@ -317,6 +398,7 @@
 }
 
 void registry_relay::on_closed(link::channel_id channel) {
+    received_.erase(received_.lower_bound({channel, 0}), received_.upper_bound({channel, ~0ULL}));
     source_.on_requester_lost(channel);
     const std::optional<core::host_id> relay = relay_on(channel);
     if (relay.has_value()) {
--- a/programs/lovagemoord/src/registry_relay.hpp
+++ b/programs/lovagemoord/src/registry_relay.hpp
@@ -4,8 +4,11 @@
 
 #include <lovagemoor/platform_adapter/registry_client.hpp>
 #include <lovagemoor/proxy/relay/registry_source.hpp>
+#include <lovagemoor/proxy/relay/value_codec.hpp>
 
+#include <compare>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -70,11 +73,27 @@
         int outstanding = 0;
     };
 
+    /// @brief A request of another host that has not been answered.
+    struct received_request {
+        link::channel_id channel = 0;
+        std::uint64_t number = 0;
+
+        friend auto operator<=>(const received_request&, const received_request&) = default;
+    };
+
+    /// @brief What the sender of a request can decode.
+    struct accepted_values {
+        bool encoded = false;
+        std::vector<proxy::held_value> held;
+    };
+
     [[nodiscard]] proxy::registry_source::hooks source_hooks(hooks functions);
     void receive_frames();
     [[nodiscard]] bool send_request(const core::host_id& relay,
                                     const proxy::relay_request& request);
     void settle(const core::host_id& relay);
+    template <typename Message>
+    void on_request(link::channel_id channel, const Message& body);
     void send_answer(link::channel_id channel, const proxy::relay_answer& answer);
     void on_answer(link::channel_id channel, const proxy::relay_answer& answer);
     void on_closed(link::channel_id channel);
@@ -84,6 +103,8 @@
     platform_adapter::registry_client& client_;
     link_router* router_;
     std::map<core::host_id, relay_channel> channels_;
+    std::map<received_request, accepted_values> received_;
+    proxy::value_codec values_;
     std::set<std::string> relayed_prefixes_;
     proxy::registry_source source_;
 };
