End a relay's history when its proof returns a missed change

The relay's proof returned it, and the cache took it for known and proved the state without it. The check that healed this is skipped for a proved configuration, so a failure domain would have kept the former one. Change: a change at or below the cache's revision that is newer than the held item ends the history, gives no proof, and makes requesters that may have continued beyond it list again. Evidence: a_watch_that_returns_a_missed_change_ends_the_history; the older code proves the state in that sequence by reading, the test was not run on it.

--- a/packages/proxy/include/lovagemoor/proxy/relay/registry_cache.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/relay/registry_cache.hpp
@@ -118,6 +118,8 @@
     void start_afresh(listing complete);
     /// @return True if a list shows a change that an earlier answer to a watch has left out.
     [[nodiscard]] bool has_missed(const listing& complete) const;
+    /// @return True if a watch returns a change that an earlier answer has left out.
+    [[nodiscard]] bool has_missed(const item_changes& changes) const;
     void apply_difference(listing complete);
     void prove(core::time_point as_of);
     void append(const item_change& change);
@@ -134,6 +136,8 @@
     registry_revision revision_ = 0;
     /// The history has all changes after this revision, in the order of their revisions.
     registry_revision history_from_ = 0;
+    /// Watches from this revision or before it may have left out a change. 0 if none can have.
+    registry_revision history_lost_until_ = 0;
     std::deque<item_change> history_;
     std::size_t history_bytes_ = 0;
     std::optional<core::time_point> proved_as_of_;
--- a/packages/proxy/src/relay/registry_cache.cpp
+++ b/packages/proxy/src/relay/registry_cache.cpp
@@ -101,6 +101,25 @@
     return missed_change || missed_removal;
 }
 
+bool registry_cache::has_missed(const item_changes& changes) const {
+    std::map<std::string, const item_change*> last_changes;
+    for (const item_change& change : changes.changes) {
+        const item_change*& last = last_changes[change.item.key];
+        if (change.item.revision <= revision_ &&
+            (last == nullptr || last->item.revision <= change.item.revision)) {
+            last = &change;
+        }
+    }
+    return std::any_of(last_changes.begin(), last_changes.end(), [this](const auto& entry) {
+        const item_change* const last = entry.second;
+        if (last == nullptr) {
+            return false;
+        }
+        const auto held = items_.find(entry.first);
+        return held == items_.end() ? !last->removed : held->second.revision < last->item.revision;
+    });
+}
+
 void registry_cache::apply_difference(listing complete) {
     if (has_missed(complete)) {
         // Other hosts may have continued from beyond the missed change.
@@ -146,6 +165,13 @@
         reset();
         return;
     }
+    if (has_missed(changes)) {
+        // Requesters may have continued from beyond the missed change.
+        const registry_revision continued = revision_;
+        reset();
+        history_lost_until_ = continued;
+        return;
+    }
     std::vector<item_change> news;
     registry_revision reached = std::max(revision_, changes.revision);
     for (const item_change& change : changes.changes) {
@@ -210,7 +236,7 @@
 
 std::optional<std::vector<item_change>>
 registry_cache::changes_after(registry_revision after) const {
-    if (after < history_from_) {
+    if (after < history_from_ || after <= history_lost_until_) {
         return std::nullopt;
     }
     std::vector<item_change> changes;
--- a/packages/proxy/test/relay/registry_cache_test.cpp
+++ b/packages/proxy/test/relay/registry_cache_test.cpp
@@ -212,6 +212,26 @@
     BOOST_TEST((keys == std::vector<std::string>{"p/a", "p/b", "p/c"}));
 }
 
+// Guards against a proof that covers a change which an earlier watch has left out: the relay and
+// its requesters would stay on the former configuration (review of issue 48).
+BOOST_AUTO_TEST_CASE(a_watch_that_returns_a_missed_change_ends_the_history) {
+    registry_cache cache = make_cache();
+    cache.on_changes(start, start, {"p/", 12, 25s}, make_changes(20, {}));
+    cache.on_changes(start + 1s, start + 1s, {"p/", 12, 0s},
+                     make_changes(21, {{make_item("p/a", 15), false}}));
+    BOOST_TEST(!cache.proved_as_of().has_value());
+    BOOST_TEST(!cache.known());
+    cache.on_page(start + 2s, start + 2s, {"p/", {}, false},
+                  make_page(20, {make_item("p/a", 15), make_item("p/b", 8), make_item("p/c", 12)}));
+    item_changes answer;
+    BOOST_TEST((cache.watch(start + 2s, 1, {"p/", 20, 0s}, answer) == result::answered));
+    BOOST_TEST((answer.status == registry_status::history_lost));
+    cache.on_changes(start + 3s, start + 3s, {"p/", 20, 0s}, make_changes(22, {}));
+    BOOST_TEST(cache.proved_as_of().has_value());
+    BOOST_TEST((cache.watch(start + 3s, 2, {"p/", 22, 0s}, answer) == result::answered));
+    BOOST_TEST((answer.status == registry_status::done));
+}
+
 // Guards against requesters that list a large document whole because its versions do not fit in the
 // history together (issue 48).
 BOOST_AUTO_TEST_CASE(a_large_change_takes_the_place_of_earlier_ones_of_its_key) {
