Keep earlier versions of the configuration only

Change: differences are sent for the configuration's key alone, which is the one large value of the reference deployments.

--- a/programs/lovagemoord/src/registry_relay.cpp
+++ b/programs/lovagemoord/src/registry_relay.cpp
@@ -225,6 +225,7 @@
                                configuration parameters, hooks functions)
     : client_{client},
       router_{router},
+      proved_prefix_{parameters.proved_prefix},
       relayed_prefixes_{parameters.relayed_prefixes},
       source_{std::move(parameters.host),
               std::move(parameters.domain),
@@ -309,7 +310,7 @@
     source_.list(made, reason,
                  [this, done = std::move(done)](const proxy::item_page& page, const origin& from) {
                      for (const proxy::registry_item& item : page.items) {
-                         values_.keep(item);
+                         keep_value(item);
                      }
                      done(page, from);
                  });
@@ -320,12 +321,20 @@
         made, reason,
         [this, done = std::move(done)](const proxy::item_changes& changes, const origin& from) {
             for (const proxy::item_change& change : changes.changes) {
-                values_.keep(change.item);
+                keep_value(change.item);
             }
             done(changes, from);
         });
 }
 
+void registry_relay::keep_value(const proxy::registry_item& item) {
+    // The configuration alone is large in the reference deployments. What other writers store must
+    // not fill the memory.
+    if (item.key == proved_prefix_) {
+        values_.keep(item);
+    }
+}
+
 void registry_relay::set_peers(const std::vector<proxy::link_peer>& peers) {
     if (router_ != nullptr) {
         source_.on_peers(peers);
@@ -374,8 +383,9 @@
     const auto request = received_.extract({channel, answer.number});
     const bool accepts_encoded = !request.empty() && request.mapped().encoded;
     const internal::value_encoder encode_value = [&](const proxy::registry_item& item) {
-        return accepts_encoded ? values_.encode(item, request.mapped().held)
-                               : proxy::encoded_value{proxy::value_encoding::plain, 0, item.value};
+        return accepts_encoded && item.key == proved_prefix_
+                   ? values_.encode(item, request.mapped().held)
+                   : proxy::encoded_value{proxy::value_encoding::plain, 0, item.value};
     };
     router_->send(channel, internal::encode(answer, encode_value));
     router_->flush();
--- a/programs/lovagemoord/src/registry_relay.hpp
+++ b/programs/lovagemoord/src/registry_relay.hpp
@@ -94,6 +94,8 @@
     void settle(const core::host_id& relay);
     template <typename Message>
     void on_request(link::channel_id channel, const Message& body);
+    /// @brief Notes a value from which others may be sent, or received, as differences.
+    void keep_value(const proxy::registry_item& item);
     void send_answer(link::channel_id channel, const proxy::relay_answer& answer);
     void on_answer(link::channel_id channel, const proxy::relay_answer& answer);
     void on_closed(link::channel_id channel);
@@ -105,6 +107,7 @@
     std::map<core::host_id, relay_channel> channels_;
     std::map<received_request, accepted_values> received_;
     proxy::value_codec values_;
+    std::string proved_prefix_;
     std::set<std::string> relayed_prefixes_;
     proxy::registry_source source_;
 };
