Do not restart watches whose answers are arriving

Cause: a lease renewal or a check that got no answer within 800 ms restarted all watches. Change: a call without an answer restarts the watches only if nothing arrived from the registry within the time limit of a call. Of the review: checks are skipped for documents of 64 KiB and more alone, and a watch that has not returned a change that a proof returned an interval earlier is resumed.

--- a/packages/gateway/include/lovagemoor/gateway/http_client.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/http_client.hpp
@@ -60,12 +60,18 @@
     /// @param done Called exactly once, after this function has returned.
     void call(http_request request, handler done);
 
+    /// @return Time at which a part of a response last arrived.
+    [[nodiscard]] std::chrono::steady_clock::time_point last_received() const noexcept {
+        return last_received_;
+    }
+
 private:
     class connection;
 
     boost::asio::io_context& context_;
     std::string address_;
     std::vector<std::shared_ptr<connection>> idle_;
+    std::chrono::steady_clock::time_point last_received_;
 };
 
 } // namespace lovagemoor::gateway
--- a/packages/gateway/src/http_client.cpp
+++ b/packages/gateway/src/http_client.cpp
@@ -125,6 +125,7 @@
                     self->finish(http_response{http_failure::no_response, 0, error.message()});
                     return;
                 }
+                self->owner_.last_received_ = std::chrono::steady_clock::now();
                 if (!self->parser_->is_done()) {
                     self->await_next_part();
                     return;
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -67,9 +67,9 @@
 constexpr std::chrono::milliseconds watch_check_interval{2400};
 
 /// Size from which the document of the configuration is not listed to check its watch, as each list
-/// transfers it: a hundredth of a second of a network link of 10 Mbit/s for 12 kB. Proofs take the
-/// place of the checks.
-constexpr std::size_t large_configuration_bytes = 12500;
+/// transfers it: a twentieth of a second of a network link of 10 Mbit/s. Proofs take the place of
+/// the checks.
+constexpr std::size_t large_configuration_bytes = std::size_t{64} * 1024;
 
 /// Age of a proof of the configuration up to which its watch needs no check: the interval of the
 /// checks, the time limit of a call and a turn of polling.
@@ -573,6 +573,19 @@
                                               {.poll_interval = internal::hosts_poll_interval});
 }
 
+void session_host::resume_configuration_watch() {
+    const proxy::registry_revision change = std::exchange(proved_change_, 0);
+    if (change <= configuration_follower_->revision() || !configuration_follower_->connected()) {
+        return;
+    }
+    // A whole interval of proofs has passed, in which a watch that waits would have returned it.
+    log(core::log_event::level::warning, "watch_lost",
+        {{"prefix", configuration_follower_->prefix()}, {"revision", std::to_string(change)}});
+    configuration_follower_ =
+        std::make_shared<proxy::registry_follower>(configuration_follower_->resumed());
+    run_follower(configuration_follower_);
+}
+
 std::optional<std::chrono::milliseconds> session_host::required_proof_interval() const {
     std::optional<std::chrono::milliseconds> required;
     if (applied_configuration_.bytes >= internal::large_configuration_bytes) {
@@ -587,7 +600,8 @@
 }
 
 bool session_host::configuration_proved() const {
-    return configuration_proved_as_of_.has_value() &&
+    return applied_configuration_.bytes >= internal::large_configuration_bytes &&
+           configuration_proved_as_of_.has_value() &&
            internal::now() - *configuration_proved_as_of_ < internal::proof_validity;
 }
 
@@ -609,8 +623,10 @@
             return;
         }
         const proxy::configuration_proof::outcome outcome = read_answer();
+        resume_configuration_watch();
         for (const proxy::item_change& change : outcome.changes) {
             apply_configuration(change);
+            proved_change_ = change.item.revision;
         }
         if (outcome.as_of.has_value()) {
             // The age that a relay states is counted from the sending of the request, so an answer
@@ -685,6 +701,7 @@
     registry_relay_->on_restored();
     configuration_proof_.on_restored(time);
     configuration_proved_as_of_.reset();
+    proved_change_ = 0;
     for (std::shared_ptr<proxy::registry_follower>* const urgent :
          {&configuration_follower_, &targets_follower_, &demotions_follower_}) {
         start_afresh(*urgent, {});
@@ -721,8 +738,9 @@
                 quota_exchange_->on_lease_lost();
             }
         }
-        if (outcome.status == proxy::registry_status::unknown ||
-            outcome.status == proxy::registry_status::rejected) {
+        const bool lost =
+            outcome.status == proxy::registry_status::unknown && !registry_client_.receiving();
+        if (lost || outcome.status == proxy::registry_status::rejected) {
             restart_watches();
         }
         maintain_registration();
@@ -860,7 +878,7 @@
                                 const proxy::item_page& page) {
     using check_result = proxy::registry_follower::check_result;
     const check_result result = checked->on_check(internal::now(), page);
-    if (result == check_result::failed) {
+    if (result == check_result::failed && !registry_client_.receiving()) {
         restart_watches();
     }
     if (result != check_result::watch_lost) {
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -121,6 +121,9 @@
     /// @brief Makes the next call that proves the configuration, if keys may be withdrawn or hosts
     /// pass on answers of the registry.
     void prove_configuration();
+    /// @brief Continues the watch of the configuration if its answer to a change that the last
+    /// proof returned is lost.
+    void resume_configuration_watch();
     /// @return Interval of proofs that this host itself needs; empty for none.
     [[nodiscard]] std::optional<std::chrono::milliseconds> required_proof_interval() const;
     /// @return True if the configuration was proved so lately that its watch needs no check.
@@ -160,6 +163,9 @@
     proxy::configuration_proof configuration_proof_;
     /// Time as of which the configuration was last proved.
     std::optional<core::time_point> configuration_proved_as_of_;
+    /// Revision of the change that the last proof returned; 0 if it returned none.
+    proxy::registry_revision proved_change_ = 0;
+
     /// @brief A configuration document that was applied.
     struct applied_document {
         proxy::registry_revision revision = 0;
@@ -168,6 +174,7 @@
 
         friend bool operator==(const applied_document&, const applied_document&) = default;
     };
+
     applied_document applied_configuration_;
     std::shared_ptr<proxy::registry_follower> targets_follower_;
     std::shared_ptr<proxy::registry_follower> hosts_follower_;
