--- a/programs/lovagemoord/src/registry_relay.hpp
+++ b/programs/lovagemoord/src/registry_relay.hpp
@@ -6,7 +6,6 @@
 #include <lovagemoor/proxy/relay/registry_source.hpp>
 #include <lovagemoor/proxy/relay/value_codec.hpp>
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -14,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace lovagemoor {
@@ -78,7 +78,9 @@
         link::channel_id channel = 0;
         std::uint64_t number = 0;
 
-        friend auto operator<=>(const received_request&, const received_request&) = default;
+        friend bool operator<(const received_request& left, const received_request& right) {
+            return std::tie(left.channel, left.number) < std::tie(right.channel, right.number);
+        }
     };
 
     /// @brief What the sender of a request can decode.
