Test that an unchanged configuration is not transferred again

Cause: no test counts what a configuration costs the hosts' links. Change: two process tests with 2,500 routes. The stand-in registry counts the bytes of its answers to lists and watches, lets a test hold watches, and no longer holds one beyond its wait_ms: each new watch restarts the interval of 2.4 s between checks, so that hosts that watch the registry itself never checked while watches were answered after 100 ms.

--- a/standins/session/include/lovagemoor/session_standins/standin_store.hpp
+++ b/standins/session/include/lovagemoor/session_standins/standin_store.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace lovagemoor::session_standins {
@@ -33,6 +34,10 @@
     /// are answered.
     void lose_watches(bool lose) noexcept { lose_watches_ = lose; }
 
+    /// @brief Sets the delay after which a watch without changes is answered. A change during the
+    /// delay is told to the next watch only.
+    void set_watch_timeout(std::chrono::milliseconds delay) noexcept { watch_timeout_ = delay; }
+
     /// @brief While unavailable, all calls are answered with status 503.
     void set_available(bool available) noexcept { available_ = available; }
 
@@ -50,6 +55,9 @@
     /// @return Number of lists and watches that were received.
     [[nodiscard]] std::uint64_t reads() const noexcept { return reads_; }
 
+    /// @return Bytes of the bodies that answered lists and watches.
+    [[nodiscard]] std::uint64_t read_bytes() const noexcept { return read_bytes_; }
+
 private:
     struct item {
         /// The value in Base64, as it is sent to clients.
@@ -88,6 +96,9 @@
     respond(const gateway::http_server::request& request);
     [[nodiscard]] gateway::http_server::response
     answer(const gateway::http_server::request& request);
+    /// @return Nothing if the request is neither a list nor a watch.
+    [[nodiscard]] std::optional<gateway::http_server::response>
+    answer_read(const std::string& path, const std::string& target) const;
     [[nodiscard]] gateway::http_server::response list_items(const std::string& prefix) const;
     [[nodiscard]] gateway::http_server::response list_changes(const std::string& prefix,
                                                               std::uint64_t after) const;
@@ -99,7 +110,9 @@
     std::uint64_t era_ = 1;
     bool available_ = true;
     bool lose_watches_ = false;
+    std::chrono::milliseconds watch_timeout_{100};
     std::uint64_t reads_ = 0;
+    std::uint64_t read_bytes_ = 0;
     /// Not part of a copy: identifiers of leases are not given out again.
     std::uint64_t last_lease_id_ = 0;
     gateway::http_server server_;
--- a/standins/session/src/standin_store.cpp
+++ b/standins/session/src/standin_store.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace lovagemoor::session_standins {
@@ -26,9 +27,6 @@
     return target.substr(start, target.find('&', start) - start);
 }
 
-/// Delay after which a watch without changes is answered.
-constexpr std::chrono::milliseconds watch_timeout{100};
-
 /// Delay of an answer that counts as lost, longer than any test.
 constexpr std::chrono::hours lost{1};
 
@@ -120,13 +118,10 @@
     expire_leases();
     const std::string path = request.target.substr(0, request.target.find('?'));
     const std::string renewal = "/v1/kv-keep/";
-    reads_ += path == "/v1/kv-range" || path == "/v1/kv-watch" ? 1 : 0;
-    if (path == "/v1/kv-range") {
-        return list_items(internal::query_parameter(request.target, "path_prefix"));
-    }
-    if (path == "/v1/kv-watch") {
-        return list_changes(internal::query_parameter(request.target, "path_prefix"),
-                            std::stoull(internal::query_parameter(request.target, "after")));
+    if (const auto read = answer_read(path, request.target)) {
+        ++reads_;
+        read_bytes_ += read->body.size();
+        return *read;
     }
     if (path == "/v1/kv-txn") {
         return transact(request.body);
@@ -140,6 +135,24 @@
     return {404, "text/plain", "unknown call", {}};
 }
 
+std::optional<gateway::http_server::response>
+standin_store::answer_read(const std::string& path, const std::string& target) const {
+    if (path == "/v1/kv-range") {
+        return list_items(internal::query_parameter(target, "path_prefix"));
+    }
+    if (path == "/v1/kv-watch") {
+        gateway::http_server::response changes =
+            list_changes(internal::query_parameter(target, "path_prefix"),
+                         std::stoull(internal::query_parameter(target, "after")));
+        const std::string wait = internal::query_parameter(target, "wait_ms");
+        if (!lose_watches_ && !wait.empty()) {
+            changes.delay = std::min(changes.delay, std::chrono::milliseconds{std::stoll(wait)});
+        }
+        return changes;
+    }
+    return std::nullopt;
+}
+
 gateway::http_server::response standin_store::grant_lease(const std::string& body) {
     const std::chrono::milliseconds duration{
         internal::json::parse(body).at("ttl_ms").get<std::int64_t>()};
@@ -194,7 +207,7 @@
     gateway::http_server::response response =
         internal::json_response({{"events", events}, {"current_rev", state_.revision}});
     if (events.empty()) {
-        response.delay = internal::watch_timeout;
+        response.delay = watch_timeout_;
     }
     if (lose_watches_) {
         response.delay = internal::lost;
--- a/tests/process/registry_relay_test.cpp
+++ b/tests/process/registry_relay_test.cpp
@@ -38,16 +38,54 @@
 
 constexpr std::size_t host_count = 3;
 
+/// Longer than the 2.4 s after which hosts check a watch, shorter than they let it wait (25 s).
+constexpr milliseconds held_watch_time{10000};
+
+std::string route(const std::string& host, int timeout_ms) {
+    return R"({"host":")" + host + R"(","service":"s","route_type":"primary","timeout_ms":)" +
+           std::to_string(timeout_ms) + "}";
+}
+
+std::string configuration_of(int version, const std::string& routes) {
+    return R"({"config_version":)" + std::to_string(version) + R"(,"routes":[)" + routes +
+           R"(],"services":[{"name":"s","max_connections":10}]})";
+}
+
+std::string routes_of_versions(int last) {
+    std::string routes;
+    for (int each = 1; each <= last; ++each) {
+        routes += (routes.empty() ? "" : ",") + route("db-" + std::to_string(each), 5000);
+    }
+    return routes;
+}
+
+/// @return A configuration that has a route for each version up to this one.
+std::string configuration(int version) {
+    return configuration_of(version, routes_of_versions(version));
+}
+
+/// @return A configuration of about 600 KB. A version changes the time limit of one route, and has
+/// a further route, which shows that it is in force.
+std::string large_configuration(int version) {
+    constexpr int long_names = 2500;
+    const std::string long_name(160, 'x');
+    std::string routes = routes_of_versions(version);
+    for (int each = 1; each <= long_names; ++each) {
+        routes += "," + route(long_name + std::to_string(each), each == 1 ? 5000 + version : 5000);
+    }
+    return configuration_of(version, routes);
+}
+
 /// @brief Runs the hosts as separate processes with a stand-in for the registry on a thread of the
 /// test.
 class linked_hosts {
 public:
-    linked_hosts()
+    explicit linked_hosts(const std::string& first_configuration = configuration(1))
         : store_{context_},
           ports_{testbed::find_free_ports(4 * host_count)},
           directory_{std::filesystem::temp_directory_path() /
                      ("lovagemoor-relay-" + std::to_string(ports_.front()))} {
-        store_.put("op/config", configuration(1));
+        store_.put("op/config", first_configuration);
         std::filesystem::create_directories(directory_);
         thread_ = std::thread{[this] { context_.run(); }};
         for (std::size_t index = 0; index < host_count; ++index) {
@@ -72,10 +110,8 @@
         std::filesystem::remove_all(directory_, ignored);
     }
 
-    /// @brief Writes a configuration that has a route for each version up to this one.
-    void put_configuration(int version) {
-        boost::asio::post(context_,
-                          [this, version] { store_.put("op/config", configuration(version)); });
+    void put_configuration(const std::string& written) {
+        boost::asio::post(context_, [this, written] { store_.put("op/config", written); });
     }
 
     /// @return Number of lists and watches that the registry has received.
@@ -85,6 +121,18 @@
         return count.get_future().get();
     }
 
+    /// @return Bytes with which the registry has answered lists and watches.
+    [[nodiscard]] std::uint64_t registry_bytes() {
+        std::promise<std::uint64_t> count;
+        boost::asio::post(context_, [this, &count] { count.set_value(store_.read_bytes()); });
+        return count.get_future().get();
+    }
+
+    /// @brief Lets the registry answer watches without changes so late that hosts check them.
+    void hold_watches() {
+        boost::asio::post(context_, [this] { store_.set_watch_timeout(held_watch_time); });
+    }
+
     testbed::child_process& process(std::size_t index) { return hosts_.at(index); }
 
     /// @return True if a host has the route of a version.
@@ -94,18 +142,21 @@
         return answer.starts_with("READY");
     }
 
+    /// @return Bytes that a host has received from its relay or from hosts that ask it as a relay,
+    /// up to its last report of them.
+    [[nodiscard]] double relay_bytes(std::size_t index) const {
+        return metric(metrics(index), "lovagemoor_host_traffic_bytes_total{direction=\"received\","
+                                      "purpose=\"relay\"} ");
+    }
+
     /// @return Sum of a host's calls that read the registry from a source. Calls that are never
     /// relayed have a source of their own.
     [[nodiscard]] double calls(std::size_t index, const std::string& source) const {
-        const std::string text = exchange(port(index, 2), "GET /metrics HTTP/1.0\r\n\r\n", true);
+        const std::string text = metrics(index);
         double sum = 0;
         for (const char* kind : {"list", "watch", "proof"}) {
-            const std::string series = std::string{"lovagemoor_registry_calls_total{kind=\""} +
-                                       kind + "\",source=\"" + source + "\"} ";
-            const std::size_t found = text.find(series);
-            if (found != std::string::npos) {
-                sum += std::stod(text.substr(found + series.size()));
-            }
+            sum += metric(text, std::string{"lovagemoor_registry_calls_total{kind=\""} + kind +
+                                    "\",source=\"" + source + "\"} ");
         }
         return sum;
     }
@@ -129,15 +180,14 @@
         return "host-" + std::to_string(index);
     }
 
-    [[nodiscard]] static std::string configuration(int version) {
-        std::string routes;
-        for (int each = 1; each <= version; ++each) {
-            routes += (routes.empty() ? "" : ",") + std::string{R"({"host":"db-)"} +
-                      std::to_string(each) +
-                      R"(","service":"s","route_type":"primary","timeout_ms":5000})";
-        }
-        return R"({"config_version":)" + std::to_string(version) + R"(,"routes":[)" + routes +
-               R"(],"services":[{"name":"s","max_connections":10}]})";
+    [[nodiscard]] std::string metrics(std::size_t index) const {
+        return exchange(port(index, 2), "GET /metrics HTTP/1.0\r\n\r\n", true);
+    }
+
+    /// @return The value of a series, or 0 if the text does not have it.
+    [[nodiscard]] static double metric(const std::string& text, const std::string& series) {
+        const std::size_t found = text.find(series);
+        return found == std::string::npos ? 0 : std::stod(text.substr(found + series.size()));
     }
 
     [[nodiscard]] std::string settings_path(std::size_t index) const {
@@ -208,6 +258,12 @@
 /// Time in which hosts that started together know each other's links and have a proof of a relay.
 constexpr milliseconds start_time{15000};
 
+/// Time in which hosts whose relays are in use have all that they read of the registry.
+constexpr milliseconds settle_time{4000};
+
+/// Longest time until bytes appear in a host's metrics, which report them every 5 s.
+constexpr milliseconds traffic_report_time{6000};
+
 } // namespace
 
 // Guards against a host that keeps calling the registry though its relays serve, and against a
@@ -225,7 +281,7 @@
         relays_before += hosts.calls(index, "registry") + hosts.calls(index, "registry_only");
     }
     const std::uint64_t reads_before = hosts.reads();
-    hosts.put_configuration(2);
+    hosts.put_configuration(configuration(2));
     for (std::size_t index = 0; index < host_count; ++index) {
         BOOST_TEST(comes_true(configuration_bound, [&] { return hosts.serves(index, 2); }));
     }
@@ -254,7 +310,7 @@
             hosts.process(index).send_signal(SIGSTOP);
         }
     }
-    hosts.put_configuration(2);
+    hosts.put_configuration(configuration(2));
     BOOST_TEST(comes_true(configuration_bound, [&] { return hosts.serves(*asker, 2); }));
     for (std::size_t index = 0; index < host_count; ++index) {
         if (index != *asker) {
@@ -269,8 +325,50 @@
             hosts.process(index).send_signal(SIGKILL);
         }
     }
-    hosts.put_configuration(3);
+    hosts.put_configuration(configuration(3));
     BOOST_TEST(comes_true(configuration_bound, [&] { return hosts.serves(*asker, 3); }));
 }
 
+// Guards against checks of a watch that read the whole configuration, which fills the hosts' links.
+BOOST_AUTO_TEST_CASE(an_unchanged_configuration_is_not_transferred_again) {
+    const std::string document = large_configuration(1);
+    linked_hosts hosts{document};
+    const std::optional<std::size_t> asker = hosts.find_asker(start_time);
+    BOOST_TEST_REQUIRE(asker.has_value());
+    hosts.hold_watches();
+    std::this_thread::sleep_for(settle_time + traffic_report_time);
+    std::vector<double> relay_before;
+    for (std::size_t index = 0; index < host_count; ++index) {
+        relay_before.push_back(hosts.relay_bytes(index));
+    }
+    BOOST_TEST_REQUIRE(relay_before[*asker] > 0);
+    const std::uint64_t registry_before = hosts.registry_bytes();
+    std::this_thread::sleep_for(traffic_report_time);
+    BOOST_TEST(hosts.registry_bytes() - registry_before < document.size());
+    for (std::size_t index = 0; index < host_count; ++index) {
+        BOOST_TEST(hosts.relay_bytes(index) - relay_before[index] < document.size());
+    }
+}
+
+// Guards against a change of one route that carries the whole configuration over the hosts' links.
+BOOST_AUTO_TEST_CASE(a_small_change_of_a_large_configuration_costs_its_requester_little) {
+    const std::string document = large_configuration(1);
+    linked_hosts hosts{document};
+    const std::optional<std::size_t> asker = hosts.find_asker(start_time);
+    BOOST_TEST_REQUIRE(asker.has_value());
+    std::this_thread::sleep_for(settle_time + traffic_report_time);
+    const double relay_before = hosts.relay_bytes(*asker);
+    BOOST_TEST_REQUIRE(relay_before > 0);
+    const double direct_calls_before = hosts.calls(*asker, "registry");
+    hosts.put_configuration(large_configuration(2));
+    BOOST_TEST(comes_true(configuration_bound, [&] {
+        return hosts.serves(0, 2) && hosts.serves(1, 2) && hosts.serves(2, 2);
+    }));
+    std::this_thread::sleep_for(traffic_report_time);
+    BOOST_TEST(hosts.relay_bytes(*asker) - relay_before <
+               static_cast<double>(document.size()) / 10);
+    // The change has not reached the host past its relays.
+    BOOST_TEST(hosts.calls(*asker, "registry") == direct_calls_before);
+}
+
 } // namespace lovagemoor
