Forget the lost history of a relay's cache with the cache

Cause (read-through): the revision up to which a history is lost outlived a return of the registry from an older copy, whose revisions are lower, so that a relay would have refused all watches of the configuration.

--- a/packages/proxy/src/relay/registry_cache.cpp
+++ b/packages/proxy/src/relay/registry_cache.cpp
@@ -208,6 +208,7 @@
     items_.clear();
     revision_ = 0;
     history_from_ = 0;
+    history_lost_until_ = 0;
     history_.clear();
     history_bytes_ = 0;
     proved_as_of_.reset();
--- a/packages/proxy/test/relay/registry_cache_test.cpp
+++ b/packages/proxy/test/relay/registry_cache_test.cpp
@@ -232,6 +232,20 @@
     BOOST_TEST((answer.status == registry_status::done));
 }
 
+// Guards against a relay that refuses all watches after the registry has come back from an older
+// copy, with lower revisions.
+BOOST_AUTO_TEST_CASE(a_reset_forgets_up_to_which_revision_the_history_is_lost) {
+    registry_cache cache = make_cache();
+    cache.on_changes(start, start, {"p/", 12, 25s}, make_changes(20, {}));
+    cache.on_changes(start + 1s, start + 1s, {"p/", 12, 0s},
+                     make_changes(21, {{make_item("p/a", 15), false}}));
+    cache.reset();
+    cache.on_page(start + 2s, start + 2s, {"p/", {}, false}, make_page(6, {make_item("p/a", 5)}));
+    item_changes answer;
+    BOOST_TEST((cache.watch(start + 2s, 1, {"p/", 6, 0s}, answer) == result::answered));
+    BOOST_TEST((answer.status == registry_status::done));
+}
+
 // Guards against requesters that list a large document whole because its versions do not fit in the
 // history together (issue 48).
 BOOST_AUTO_TEST_CASE(a_large_change_takes_the_place_of_earlier_ones_of_its_key) {
