--- a/review/stage-2/stage.cpp
+++ b/review/stage-2/stage.cpp
@@ -436,6 +436,7 @@
     if (error) {
         return false;
     }
+    socket_.set_option(tcp::no_delay{true}, error);
     const answer greeting = exchange("STARTUP " + database + " client\r\n", timeout);
     return !greeting.broken && greeting.lines.back().starts_with("READY I");
 }
