--- a/review/stage-2/memory_case.cpp
+++ b/review/stage-2/memory_case.cpp
@@ -153,7 +153,7 @@
 std::string use_connections(review::deployment& hosts, std::size_t host, std::size_t value_bytes) {
     const std::string value(value_bytes, 'v');
     std::string failure;
-    for (const std::string database : {"orders", "reports", "orders", "reports"}) {
+    for (const std::string database : {"orders", "reports", "reports", "orders", "reports"}) {
         sessions opened;
         for (std::size_t index = 0; index < grouped_sessions && failure.empty(); ++index) {
             review::client_session& session =
