Log reads of large documents and the proof's age of failed relays

Change: event registry_document_read and counter lovagemoor_registry_documents_total, by purpose and source; registry_relay_failed has proof_age_ms, which refusals of a relay state now.

--- a/packages/proxy/include/lovagemoor/proxy/relay/registry_source.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/relay/registry_source.hpp
@@ -33,6 +33,8 @@
         check,
         /// Proves the configuration.
         prove,
+        /// Fills what a relay passes on.
+        refresh,
     };
 
     /// @brief Where an answer came from.
@@ -65,8 +67,12 @@
         std::function<void(relay_service::requester, const relay_answer&)> send_answer;
         /// A call is made, for metrics.
         std::function<void(const call&, purpose, bool relayed)> on_call;
+        /// An answer has returned an item, for logs and metrics.
+        std::function<void(const registry_item&, purpose, bool relayed)> on_item_read;
         /// A relay failed, for logs and metrics.
-        std::function<void(const core::host_id& relay, const char* reason)> on_relay_failure;
+        std::function<void(const core::host_id& relay, const char* reason,
+                           std::chrono::milliseconds proof_age)>
+            on_relay_failure;
     };
 
     /// @param proved_prefix Key of the configuration.
@@ -128,7 +134,9 @@
     void finish(const pending_call& pending, const item_changes& changes, const origin& source);
     /// @return True if the answer is not older than what this host knows already.
     [[nodiscard]] bool is_acceptable(const pending_call& pending, const relay_answer& answer) const;
-    void fail_relay(const core::host_id& relay, const char* reason);
+    /// @param proof_age Age of its proof as the relay stated it; zero if it did not.
+    void fail_relay(const core::host_id& relay, const char* reason,
+                    std::chrono::milliseconds proof_age = {});
     /// @brief Repeats the calls that wait for a relay at the registry.
     void leave_relay(const core::host_id& relay);
 
--- a/packages/proxy/include/lovagemoor/proxy/relay/relay_message.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/relay/relay_message.hpp
@@ -45,7 +45,7 @@
     /// The alternative belongs to that of the request's call.
     std::variant<item_page, item_changes> result;
     /// Age of the relay's last proof of the configuration when it answered. For answers about the
-    /// configuration, it is the age of the state.
+    /// configuration, it is the age of the state. In refusals, it is for logs only.
     std::chrono::milliseconds proof_age{0};
 };
 
--- a/packages/proxy/include/lovagemoor/proxy/relay/relay_service.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/relay/relay_service.hpp
@@ -99,6 +99,7 @@
     static constexpr std::size_t max_watches = 4096;
 
     [[nodiscard]] bool has_recent_proof() const;
+    [[nodiscard]] std::chrono::milliseconds proof_age() const;
     void handle(const waiting_request& waiting, bool may_refresh);
     void answer_list(const waiting_request& waiting, followed_items& items, bool may_refresh);
     void answer_watch(const waiting_request& waiting, followed_items& items, bool may_refresh);
--- a/packages/proxy/src/relay/registry_source.cpp
+++ b/packages/proxy/src/relay/registry_source.cpp
@@ -26,10 +26,16 @@
     result.now = functions.now;
     result.current_era = functions.current_era;
     result.answer = functions.send_answer;
-    result.list = [list = functions.list, on_call = functions.on_call](
+    result.list = [list = functions.list, on_call = functions.on_call,
+                   on_item_read = functions.on_item_read](
                       const list_items& made, std::function<void(const item_page&)> done) {
-        on_call(made, registry_source::purpose::follow, false);
-        list(made, std::move(done));
+        on_call(made, registry_source::purpose::refresh, false);
+        list(made, [on_item_read, done = std::move(done)](const item_page& page) {
+            for (const registry_item& item : page.items) {
+                on_item_read(item, registry_source::purpose::refresh, false);
+            }
+            done(page);
+        });
     };
     return result;
 }
@@ -135,6 +141,9 @@
 
 void registry_source::finish(const pending_call& pending, const item_page& page,
                              const origin& source) {
+    for (const registry_item& item : page.items) {
+        hooks_.on_item_read(item, pending.reason, source.relayed);
+    }
     const auto& made = std::get<list_items>(pending.made);
     if (page.status == registry_status::done && !made.may_be_stale) {
         registry_revision& known = known_revision(made.prefix);
@@ -148,6 +157,9 @@
 
 void registry_source::finish(const pending_call& pending, const item_changes& changes,
                              const origin& source) {
+    for (const item_change& change : changes.changes) {
+        hooks_.on_item_read(change.item, pending.reason, source.relayed);
+    }
     if (changes.status == registry_status::done) {
         registry_revision& known = known_revision(internal::prefix_of(pending.made));
         known = std::max(known, changes.revision);
@@ -200,12 +212,13 @@
         return;
     }
     if (answer.refusal == relay_refusal::no_proof || answer.refusal == relay_refusal::not_relay) {
-        fail_relay(relay, answer.refusal == relay_refusal::no_proof ? "no_proof" : "not_relay");
+        fail_relay(relay, answer.refusal == relay_refusal::no_proof ? "no_proof" : "not_relay",
+                   answer.proof_age);
         return;
     }
     const bool answered = answer.refusal == relay_refusal::none;
     if (answered && answer.proof_age > selector_.settings().proof_age_max) {
-        fail_relay(relay, "old_proof");
+        fail_relay(relay, "old_proof", answer.proof_age);
         return;
     }
     pending_call pending = std::move(found->second.pending);
@@ -242,8 +255,9 @@
     }
 }
 
-void registry_source::fail_relay(const core::host_id& relay, const char* reason) {
-    hooks_.on_relay_failure(relay, reason);
+void registry_source::fail_relay(const core::host_id& relay, const char* reason,
+                                 std::chrono::milliseconds proof_age) {
+    hooks_.on_relay_failure(relay, reason, proof_age);
     selector_.on_failure(hooks_.now(), relay);
     leave_relay(relay);
 }
--- a/packages/proxy/src/relay/relay_service.cpp
+++ b/packages/proxy/src/relay/relay_service.cpp
@@ -285,16 +285,20 @@
 
 void relay_service::send(requester sender, relay_answer answer) {
     std::visit([this](auto& result) { result.era = hooks_.current_era(); }, answer.result);
+    answer.proof_age = proof_age();
+    hooks_.answer(sender, answer);
+}
+
+std::chrono::milliseconds relay_service::proof_age() const {
     const std::optional<core::time_point> as_of = proved_as_of();
     const core::duration age = as_of.has_value() ? core::duration{hooks_.now() - *as_of}
                                                  : core::duration{settings_.proof_age_max};
     // Rounded up, as a proof must not appear younger than it is.
-    answer.proof_age = std::chrono::ceil<std::chrono::milliseconds>(age);
-    hooks_.answer(sender, answer);
+    return std::chrono::ceil<std::chrono::milliseconds>(age);
 }
 
 void relay_service::refuse(requester sender, const relay_request& request, relay_refusal reason) {
-    relay_answer answer{request.number, reason, item_page{}, {}};
+    relay_answer answer{request.number, reason, item_page{}, proof_age()};
     if (std::holds_alternative<watch_items>(request.call)) {
         answer.result = item_changes{};
     }
@@ -307,7 +311,7 @@
         if (found != watchers_.end()) {
             const watcher target = std::move(found->second);
             watchers_.erase(found);
-            hooks_.answer(target.sender, relay_answer{target.number, reason, item_changes{}, {}});
+            hooks_.answer(target.sender, relay_answer{target.number, reason, item_changes{}, proof_age()});
         }
     }
 }
--- a/packages/proxy/test/relay/registry_source_test.cpp
+++ b/packages/proxy/test/relay/registry_source_test.cpp
@@ -64,7 +64,9 @@
             answers.push_back(answer);
         };
         result.on_call = [](const registry_source::call&, purpose, bool) {};
-        result.on_relay_failure = [this](const core::host_id&, const char* reason) {
+        result.on_item_read = [](const registry_item&, purpose, bool) {};
+        result.on_relay_failure = [this](const core::host_id&, const char* reason,
+                                         std::chrono::milliseconds) {
             failure = reason;
         };
         return result;
--- a/packages/proxy/test/relay/relay_property_test.cpp
+++ b/packages/proxy/test/relay/relay_property_test.cpp
@@ -203,7 +203,8 @@
             relayed_calls += relayed ? 1 : 0;
             late_registry_calls += !relayed && tasks_.now() > created_at_ + settling_time ? 1 : 0;
         };
-        result.on_relay_failure = [](const core::host_id&, const char*) {};
+        result.on_item_read = [](const registry_item&, registry_source::purpose, bool) {};
+        result.on_relay_failure = [](const core::host_id&, const char*, milliseconds) {};
         return result;
     }
 
--- a/programs/lovagemoord/src/registry_relay.cpp
+++ b/programs/lovagemoord/src/registry_relay.cpp
@@ -22,6 +22,20 @@
     return std::holds_alternative<proxy::list_items>(made) ? "list" : "watch";
 }
 
+const char* name_of(registry_relay::purpose reason) {
+    switch (reason) {
+    case registry_relay::purpose::follow:
+        return "follow";
+    case registry_relay::purpose::check:
+        return "check";
+    case registry_relay::purpose::prove:
+        return "prove";
+    case registry_relay::purpose::refresh:
+        break;
+    }
+    return "refresh";
+}
+
 template <typename Message>
 std::optional<proxy::registry_era> era_of(const Message& message) {
     return message.has_era() ? std::optional<proxy::registry_era>{message.era()} : std::nullopt;
@@ -268,13 +282,34 @@
             {"lovagemoor_registry_calls_total",
              {{"kind", internal::kind_of(made, reason)}, {"source", relayed ? "relay" : direct}}});
     };
+    result.on_item_read = [this, now = result.now, count = functions.count, log = functions.log](
+                              const proxy::registry_item& item, purpose reason, bool relayed) {
+        if (item.value.size() < large_document_bytes) {
+            return;
+        }
+        const char* const source = relayed ? "relay" : "registry";
+        count({"lovagemoor_registry_documents_total",
+               {{"purpose", internal::name_of(reason)}, {"source", source}}});
+        log({core::log_event::level::info,
+             "registry_document_read",
+             {{"key", item.key},
+              {"revision", std::to_string(item.revision)},
+              {"bytes", std::to_string(item.value.size())},
+              {"purpose", internal::name_of(reason)},
+              {"source", source},
+              {"is_relay", source_.selector().is_relay() ? "true" : "false"},
+              {"has_relay", source_.selector().relay(now()).has_value() ? "true" : "false"}}});
+    };
     result.on_relay_failure = [count = functions.count, log = std::move(functions.log)](
-                                  const core::host_id& relay, const char* reason) {
+                                  const core::host_id& relay, const char* reason,
+                                  std::chrono::milliseconds proof_age) {
         count({"lovagemoor_relay_failures_total", {{"reason", reason}}});
         // A relay that failed is avoided for seconds, which bounds the number of lines.
         log({core::log_event::level::warning,
              "registry_relay_failed",
-             {{"relay", relay.value}, {"reason", reason}}});
+             {{"relay", relay.value},
+              {"reason", reason},
+              {"proof_age_ms", std::to_string(proof_age.count())}}});
     };
     return result;
 }
--- a/programs/lovagemoord/src/registry_relay.hpp
+++ b/programs/lovagemoord/src/registry_relay.hpp
@@ -27,6 +27,10 @@
     using page_handler = proxy::registry_source::page_handler;
     using changes_handler = proxy::registry_source::changes_handler;
 
+    /// Size from which the document of the configuration counts as large: a twentieth of a second
+    /// of a network link of 10 Mbit/s, the smallest of the reference deployments.
+    static constexpr std::size_t large_document_bytes = std::size_t{64} * 1024;
+
     struct configuration {
         core::host_id host;
         core::domain_id domain;
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -66,11 +66,6 @@
 /// it is well below the tightest bound of the reference deployments (3 s for a configuration).
 constexpr std::chrono::milliseconds watch_check_interval{2400};
 
-/// Size from which the document of the configuration is not listed to check its watch, as each list
-/// transfers it: a twentieth of a second of a network link of 10 Mbit/s. Proofs take the place of
-/// the checks.
-constexpr std::size_t large_configuration_bytes = std::size_t{64} * 1024;
-
 /// Age of a proof of the configuration up to which its watch needs no check: the interval of the
 /// checks, the time limit of a call and a turn of polling.
 constexpr std::chrono::milliseconds proof_validity{3400};
@@ -588,7 +583,7 @@
 
 std::optional<std::chrono::milliseconds> session_host::required_proof_interval() const {
     std::optional<std::chrono::milliseconds> required;
-    if (applied_configuration_.bytes >= internal::large_configuration_bytes) {
+    if (applied_configuration_.bytes >= registry_relay::large_document_bytes) {
         required = internal::watch_check_interval;
     }
     if (settings_.key_withdrawal.count() > 0) {
@@ -600,7 +595,7 @@
 }
 
 bool session_host::configuration_proved() const {
-    return applied_configuration_.bytes >= internal::large_configuration_bytes &&
+    return applied_configuration_.bytes >= registry_relay::large_document_bytes &&
            configuration_proved_as_of_.has_value() &&
            internal::now() - *configuration_proved_as_of_ < internal::proof_validity;
 }
