Let a request over HTTP be abandoned

Cause: a watch of the registry whose follower has given it up, or could make it through a relay, still returns the next change: there was no way to end it.

--- a/packages/gateway/include/lovagemoor/gateway/http_client.hpp
+++ b/packages/gateway/include/lovagemoor/gateway/http_client.hpp
@@ -52,13 +52,17 @@
 class http_client {
 public:
     using handler = std::function<void(const http_response&)>;
+    /// Gives a request up unless a part of its response has arrived. Returns true if it was given
+    /// up; its handler is not called then.
+    using abandon_function = std::function<bool()>;
 
     /// @param address Address of the server, as ip:port.
     http_client(boost::asio::io_context& context, std::string address);
 
     /// @brief Sends a request over an idle connection, or over a new one if none is idle.
-    /// @param done Called exactly once, after this function has returned.
-    void call(http_request request, handler done);
+    /// @param done Called exactly once, after this function has returned, unless the request is
+    /// abandoned.
+    abandon_function call(http_request request, handler done);
 
     /// @return Time at which a part of a response last arrived.
     [[nodiscard]] std::chrono::steady_clock::time_point last_received() const noexcept {
--- a/packages/gateway/src/http_client.cpp
+++ b/packages/gateway/src/http_client.cpp
@@ -59,8 +59,10 @@
     connection(http_client& owner, boost::asio::io_context& context)
         : owner_{owner}, stream_{context} {}
 
-    void run(http_request request, handler done) {
+    /// @return A number that identifies the request on this connection.
+    std::uint64_t run(http_request request, handler done) {
         done_ = std::move(done);
+        ++request_number_;
         message_ = {};
         message_.version(11);
         message_.method(request.method);
@@ -78,7 +80,7 @@
         pause_timeout_ = request.pause_timeout;
         if (connected_) {
             write();
-            return;
+            return request_number_;
         }
         // A lost SYN packet is retransmitted only after seconds, so giving up early and opening a
         // new connection is faster.
@@ -94,6 +96,16 @@
                 configure_socket(self->stream_.socket());
                 self->write();
             });
+        return request_number_;
+    }
+
+    bool abandon(std::uint64_t request) {
+        if (request != request_number_ || !done_ || receive_until_.has_value()) {
+            return false;
+        }
+        done_ = nullptr;
+        stream_.close();
+        return true;
     }
 
 private:
@@ -152,12 +164,14 @@
         stream_.expires_never();
         parser_.reset();
         const handler done = std::exchange(done_, nullptr);
-        if (response.failure == http_failure::none && reusable_) {
+        if (response.failure == http_failure::none && reusable_ && done) {
             owner_.idle_.push_back(shared_from_this());
         } else {
             stream_.close();
         }
-        done(response);
+        if (done) {
+            done(response);
+        }
     }
 
     http_client& owner_;
@@ -169,7 +183,9 @@
     std::chrono::milliseconds pause_timeout_{0};
     /// Time limit for the whole response. Empty until its first part has arrived.
     std::optional<std::chrono::steady_clock::time_point> receive_until_;
+    /// Empty if no request is in progress.
     handler done_;
+    std::uint64_t request_number_ = 0;
     bool connected_ = false;
     bool reusable_ = false;
 };
@@ -177,7 +193,7 @@
 http_client::http_client(boost::asio::io_context& context, std::string address)
     : context_{context}, address_{std::move(address)} {}
 
-void http_client::call(http_request request, handler done) {
+http_client::abandon_function http_client::call(http_request request, handler done) {
     std::shared_ptr<connection> chosen;
     if (idle_.empty()) {
         chosen = std::make_shared<connection>(*this, context_);
@@ -185,7 +201,11 @@
         chosen = std::move(idle_.back());
         idle_.pop_back();
     }
-    chosen->run(std::move(request), std::move(done));
+    const std::uint64_t number = chosen->run(std::move(request), std::move(done));
+    return [weak = std::weak_ptr<connection>{chosen}, number] {
+        const std::shared_ptr<connection> used = weak.lock();
+        return used != nullptr && used->abandon(number);
+    };
 }
 
 } // namespace lovagemoor::gateway
--- a/packages/gateway/test/http_client_test.cpp
+++ b/packages/gateway/test/http_client_test.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
@@ -132,6 +134,36 @@
     BOOST_TEST((call(context, client, request).failure == http_failure::no_response));
 }
 
+// Guards against a watch that was given up and that the server still answers with a document.
+BOOST_AUTO_TEST_CASE(an_abandoned_request_ends_its_connection) {
+    boost::asio::io_context context;
+    tcp::acceptor acceptor{context, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    tcp::socket served{context};
+    std::string asked;
+    boost::system::error_code ended;
+    http_client client{context, "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())};
+    http_client::abandon_function abandon;
+    bool abandoned = false;
+    acceptor.async_accept(served, [&](const boost::system::error_code& /*error*/) {
+        boost::asio::async_read_until(served, boost::asio::dynamic_buffer(asked), "\r\n\r\n",
+                                      [&](const boost::system::error_code& /*error*/, std::size_t) {
+                                          abandoned = abandon();
+                                          boost::asio::read(
+                                              served, boost::asio::dynamic_buffer(asked), ended);
+                                      });
+    });
+    http_request request;
+    request.target = "/";
+    request.timeout = 1h;
+    bool answered = false;
+    abandon = client.call(std::move(request), [&](const http_response&) { answered = true; });
+    context.run();
+    BOOST_TEST(abandoned);
+    BOOST_TEST(!answered);
+    BOOST_TEST((ended == boost::asio::error::eof));
+    BOOST_TEST(!abandon());
+}
+
 BOOST_AUTO_TEST_CASE(requests_are_answered_over_one_connection) {
     boost::asio::io_context context;
     http_server server{context, "127.0.0.1:0", [](const http_server::request& asked) {
