Read a changed large configuration once on each host

Cause: a relay read a change of the configuration by its watch and again by its proof, which continued from a revision of its own; a watch that was resumed after a proof read it once more; and a host without a proof of the last 3.4 s listed the whole document every 2.4 s to check its watch, just while the link was full. The documents of six relays a region filled the link to the registry.

Change: the next proof continues from the document that the watch has returned, and a resumed watch from the one that the proof has returned. The configuration is a single document, so a later one supersedes all before. A large document is never listed to check its watch; a proof without an answer counts as the failed check did.

--- a/packages/proxy/include/lovagemoor/proxy/registry/configuration_proof.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/configuration_proof.hpp
@@ -31,6 +31,10 @@
     /// @return The call to make now. Empty while a call is pending or none is due.
     [[nodiscard]] std::optional<call> next_call(core::time_point now);
 
+    /// @brief The configuration was read by another call. It is a single document that supersedes
+    /// earlier ones, so that the next proof need not return it again.
+    void on_read(registry_revision revision);
+
     /// @brief What an answer proves.
     struct outcome {
         /// Changes to apply before the configuration counts as proved.
@@ -59,6 +63,8 @@
     bool under_way_ = false;
     /// Revision up to which all changes are known; 0 if the items must be listed.
     registry_revision revision_ = 0;
+    /// Revision of the newest document that was read by another call.
+    registry_revision read_revision_ = 0;
     core::time_point sent_;
     /// Time at which the call that last proved the configuration was sent.
     std::optional<core::time_point> proved_sent_;
--- a/packages/proxy/include/lovagemoor/proxy/registry/registry_follower.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/registry/registry_follower.hpp
@@ -88,6 +88,11 @@
     /// follower.
     [[nodiscard]] registry_follower resumed() const;
 
+    /// @brief As resumed(), but the new watch continues after a change that was read by another
+    /// call and is not to be returned again.
+    /// @pre The change is the last one of all followed items up to its revision.
+    [[nodiscard]] registry_follower resumed_after(const item_change& read) const;
+
     /// @brief A call of this host had no answer or the registry has lost its history. For a while,
     /// a list that may be stale is not enough to check the pending watch.
     void on_disturbance(core::time_point now);
--- a/packages/proxy/src/registry/configuration_proof.cpp
+++ b/packages/proxy/src/registry/configuration_proof.cpp
@@ -1,5 +1,6 @@
 #include <lovagemoor/proxy/registry/configuration_proof.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace lovagemoor::proxy {
@@ -19,12 +20,17 @@
     }
     under_way_ = true;
     sent_ = now;
+    revision_ = std::max(revision_, read_revision_);
     if (revision_ == 0) {
         return list_items{prefix_, {}, false};
     }
     return watch_items{prefix_, revision_, std::chrono::milliseconds{0}};
 }
 
+void configuration_proof::on_read(registry_revision revision) {
+    read_revision_ = std::max(read_revision_, revision);
+}
+
 configuration_proof::outcome configuration_proof::on_page(core::time_point now,
                                                           const item_page& page) {
     under_way_ = false;
@@ -46,6 +52,7 @@
     under_way_ = false;
     if (changes.status == registry_status::history_lost) {
         revision_ = 0;
+        read_revision_ = 0;
         retry_at_ = now;
         return {};
     }
@@ -60,6 +67,7 @@
 void configuration_proof::on_restored(core::time_point now) {
     under_way_ = false;
     revision_ = 0;
+    read_revision_ = 0;
     retry_at_ = now;
 }
 
--- a/packages/proxy/src/registry/registry_follower.cpp
+++ b/packages/proxy/src/registry/registry_follower.cpp
@@ -46,6 +46,13 @@
     return next;
 }
 
+registry_follower registry_follower::resumed_after(const item_change& read) const {
+    registry_follower next = resumed();
+    next.revision_ = std::max(next.revision_, read.item.revision);
+    next.track({read});
+    return next;
+}
+
 registry_follower registry_follower::restored(core::time_point now, core::duration delay) const {
     registry_follower next{prefix_, settings_};
     next.failures_ = failures_;
--- a/packages/proxy/test/registry/configuration_proof_test.cpp
+++ b/packages/proxy/test/registry/configuration_proof_test.cpp
@@ -37,6 +37,20 @@
 
 BOOST_AUTO_TEST_SUITE(configuration_proof_test)
 
+// Guards against a proof that transfers a document again that the host's watch has returned.
+BOOST_AUTO_TEST_CASE(a_proof_does_not_return_a_document_that_was_read_by_another_call) {
+    configuration_proof proof = make_proof();
+    BOOST_REQUIRE(proof.next_call(at(1s)).has_value());
+    static_cast<void>(proof.on_page(at(1s), page_at(7)));
+    proof.on_read(9);
+    const auto watch = proof.next_call(at(4s));
+    BOOST_REQUIRE(watch.has_value());
+    BOOST_TEST(std::get<watch_items>(*watch).after == 9U);
+    // A revision of before a loss of history may not be one of the registry's.
+    static_cast<void>(proof.on_changes(at(4s), {registry_status::history_lost, {}, 0}));
+    BOOST_TEST(std::holds_alternative<list_items>(*proof.next_call(at(4s))));
+}
+
 // Guards against a proof that seems younger than the state that it shows: the registry may have
 // answered at any time since the call was sent.
 BOOST_AUTO_TEST_CASE(a_proof_is_as_old_as_its_call) {
--- a/packages/proxy/test/registry/registry_follower_test.cpp
+++ b/packages/proxy/test/registry/registry_follower_test.cpp
@@ -421,4 +421,12 @@
     BOOST_TEST(std::get<list_items>(*call).may_be_stale);
 }
 
+// Guards against a watch that transfers a large document again that a proof has returned.
+BOOST_AUTO_TEST_CASE(a_watch_is_resumed_after_a_change_that_was_read_by_another_call) {
+    registry_follower follower = listed({});
+    BOOST_REQUIRE(watches_after(follower.next_call(start), 7));
+    registry_follower next = follower.resumed_after({{"p/a", "2", 9, 0}, false});
+    BOOST_TEST(watches_after(next.next_call(start + 1s), 9));
+}
+
 } // namespace lovagemoor::proxy
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -66,10 +66,6 @@
 /// it is well below the tightest bound of the reference deployments (3 s for a configuration).
 constexpr std::chrono::milliseconds watch_check_interval{2400};
 
-/// Age of a proof of the configuration up to which its watch needs no check: the interval of the
-/// checks, the time limit of a call and a turn of polling.
-constexpr std::chrono::milliseconds proof_validity{3400};
-
 /// The process ends this long before the end of its grace time at the latest, even if callers have
 /// not read all answers.
 constexpr std::chrono::milliseconds stop_margin{500};
@@ -569,15 +565,17 @@
 }
 
 void session_host::resume_configuration_watch() {
-    const proxy::registry_revision change = std::exchange(proved_change_, 0);
-    if (change <= configuration_follower_->revision() || !configuration_follower_->connected()) {
+    const std::optional<proxy::item_change> change = std::exchange(proved_change_, std::nullopt);
+    if (!change.has_value() || change->item.revision <= configuration_follower_->revision() ||
+        !configuration_follower_->connected()) {
         return;
     }
     // A whole interval of proofs has passed, in which a watch that waits would have returned it.
     log(core::log_event::level::warning, "watch_lost",
-        {{"prefix", configuration_follower_->prefix()}, {"revision", std::to_string(change)}});
+        {{"prefix", configuration_follower_->prefix()},
+         {"revision", std::to_string(change->item.revision)}});
     configuration_follower_ =
-        std::make_shared<proxy::registry_follower>(configuration_follower_->resumed());
+        std::make_shared<proxy::registry_follower>(configuration_follower_->resumed_after(*change));
     run_follower(configuration_follower_);
 }
 
@@ -594,12 +592,6 @@
     return required;
 }
 
-bool session_host::configuration_proved() const {
-    return applied_configuration_.bytes >= registry_relay::large_document_bytes &&
-           configuration_proved_as_of_.has_value() &&
-           internal::now() - *configuration_proved_as_of_ < internal::proof_validity;
-}
-
 void session_host::prove_configuration() {
     const std::optional<std::chrono::milliseconds> interval =
         registry_relay_->proof_interval(required_proof_interval());
@@ -613,15 +605,23 @@
         return;
     }
     const auto apply = [this, sent_in = registry_eras_.current()](
-                           const registry_relay::origin& origin, const auto& read_answer) {
+                           const registry_relay::origin& origin, proxy::registry_status status,
+                           const auto& read_answer) {
         if (registry_eras_.restored_since(sent_in)) {
             return;
         }
+        const bool unanswered = status == proxy::registry_status::unknown;
+        if (unanswered && applied_configuration_.bytes >= registry_relay::large_document_bytes &&
+            !registry_client_.receiving()) {
+            // As after a failed check, whose place the proof takes.
+            restart_watches();
+        }
         const proxy::configuration_proof::outcome outcome = read_answer();
         resume_configuration_watch();
         for (const proxy::item_change& change : outcome.changes) {
             apply_configuration(change);
-            proved_change_ = change.item.revision;
+            proved_change_ = change;
+            proved_change_->item.value.clear();
         }
         if (outcome.as_of.has_value()) {
             // The age that a relay states is counted from the sending of the request, so an answer
@@ -629,8 +629,6 @@
             const core::time_point as_of = *outcome.as_of - origin.proof_age;
             metrics_.perform(core::observe_duration{
                 "lovagemoor_configuration_proof_age_seconds", {}, internal::now() - as_of});
-            configuration_proved_as_of_ =
-                std::max(configuration_proved_as_of_.value_or(as_of), as_of);
             handle(proxy::configuration_confirmed{as_of});
         }
     };
@@ -639,7 +637,7 @@
                        registry_relay_->list(value, registry_relay::purpose::prove,
                                              [this, apply](const proxy::item_page& page,
                                                            const registry_relay::origin& origin) {
-                                                 apply(origin, [&] {
+                                                 apply(origin, page.status, [&] {
                                                      return configuration_proof_.on_page(
                                                          internal::now(), page);
                                                  });
@@ -649,7 +647,7 @@
                        registry_relay_->watch(value, registry_relay::purpose::prove,
                                               [this, apply](const proxy::item_changes& changes,
                                                             const registry_relay::origin& origin) {
-                                                  apply(origin, [&] {
+                                                  apply(origin, changes.status, [&] {
                                                       return configuration_proof_.on_changes(
                                                           internal::now(), changes);
                                                   });
@@ -695,8 +693,7 @@
     // Before the first new call, as this abandons the calls through relays.
     registry_relay_->on_restored();
     configuration_proof_.on_restored(time);
-    configuration_proved_as_of_.reset();
-    proved_change_ = 0;
+    proved_change_.reset();
     for (std::shared_ptr<proxy::registry_follower>* const urgent :
          {&configuration_follower_, &targets_follower_, &demotions_follower_}) {
         start_afresh(*urgent, {});
@@ -845,7 +842,10 @@
 
 void session_host::check_watches() {
     for (const std::shared_ptr<proxy::registry_follower>* const slot : watching_followers()) {
-        if (*slot == nullptr || (*slot == configuration_follower_ && configuration_proved())) {
+        // Proofs take the place of checks that would transfer a large document each time.
+        if (*slot == nullptr ||
+            (*slot == configuration_follower_ &&
+             applied_configuration_.bytes >= registry_relay::large_document_bytes)) {
             continue;
         }
         const core::time_point time = internal::now();
@@ -905,6 +905,7 @@
     if (&follower == configuration_follower_.get()) {
         for (const proxy::item_change& change : update.changes) {
             apply_configuration(change);
+            configuration_proof_.on_read(change.item.revision);
         }
     } else if (&follower == targets_follower_.get()) {
         apply_targets(update);
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -126,8 +126,6 @@
     void resume_configuration_watch();
     /// @return Interval of proofs that this host itself needs; empty for none.
     [[nodiscard]] std::optional<std::chrono::milliseconds> required_proof_interval() const;
-    /// @return True if the configuration was proved so lately that its watch needs no check.
-    [[nodiscard]] bool configuration_proved() const;
     void poll_registry();
     void report_traffic();
     [[nodiscard]] gateway::http_server::response
@@ -161,10 +159,8 @@
     std::optional<registry_relay> registry_relay_;
     std::shared_ptr<proxy::registry_follower> configuration_follower_;
     proxy::configuration_proof configuration_proof_;
-    /// Time as of which the configuration was last proved.
-    std::optional<core::time_point> configuration_proved_as_of_;
-    /// Revision of the change that the last proof returned; 0 if it returned none.
-    proxy::registry_revision proved_change_ = 0;
+    /// Change that the last proof returned, without its value. Empty if it returned none.
+    std::optional<proxy::item_change> proved_change_;
 
     /// @brief A configuration document that was applied.
     struct applied_document {
--- a/tests/process/registry_relay_test.cpp
+++ b/tests/process/registry_relay_test.cpp
@@ -350,6 +350,26 @@
     }
 }
 
+// Guards against a relay that reads each change of a large configuration by its watch and again by
+// its proof, which fills the link between two regions (CONFIG, issue 54).
+BOOST_AUTO_TEST_CASE(each_relay_reads_a_change_of_a_large_configuration_once) {
+    const std::string document = large_configuration(1);
+    linked_hosts hosts{document};
+    BOOST_TEST_REQUIRE(hosts.find_asker(start_time).has_value());
+    std::this_thread::sleep_for(settle_time + traffic_report_time);
+    const std::uint64_t before = hosts.registry_bytes();
+    hosts.put_configuration(large_configuration(2));
+    BOOST_TEST(comes_true(configuration_bound, [&] {
+        return hosts.serves(0, 2) && hosts.serves(1, 2) && hosts.serves(2, 2);
+    }));
+    std::this_thread::sleep_for(traffic_report_time);
+    // Base64 makes four bytes of three. A proof that is under way when the change is written may
+    // return it to one of the two relays again.
+    const double reads = static_cast<double>(hosts.registry_bytes() - before) /
+                         (static_cast<double>(document.size()) * 4 / 3);
+    BOOST_TEST(reads < 3.5);
+}
+
 // Guards against a change of one route that carries the whole configuration over the hosts' links.
 BOOST_AUTO_TEST_CASE(a_small_change_of_a_large_configuration_costs_its_requester_little) {
     const std::string document = large_configuration(1);
