Let a region share two relays, move watches to them, and delay the way back

Cause: whole documents crossed the link of 60 Mbit/s between two regions once or more for each host. Watches that hosts had made at the registry before they knew a relay stayed there for up to 25 s and returned the change past the relays. The full link made the relays' proofs late, so that all hosts went back to the registry within half a second and read the document there, which kept the link full.

Change: hosts share two relays with their region, in different failure domains, in place of two in each domain. While they fail, hosts ask standbys in one common order; a host that is asked serves as a relay. When a relay gives a proof, watches that wait elsewhere move to it, and a replaced watch is abandoned. A call that may return a large document waits 1 to 2.5 s for a relay before it goes to the registry. A relay whose proofs fail refuses at once. In deployments with several regions, a host lists the other hosts before it first reads the configuration. Deployments with a single region keep two relays in each failure domain.

--- a/packages/proxy/include/lovagemoor/proxy/link/link_peer.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/link/link_peer.hpp
@@ -10,7 +10,7 @@
 struct link_peer {
     core::host_id host;
     core::domain_id domain;
-    /// Empty if the deployment has a single region.
+    /// Empty if the deployment does not name regions.
     std::string region;
     /// Share of the work that the host takes, relative to other hosts: its share of a core.
     double weight = 1;
--- a/packages/proxy/include/lovagemoor/proxy/relay/registry_source.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/relay/registry_source.hpp
@@ -9,6 +9,7 @@
 #include <lovagemoor/proxy/relay/relay_service.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -24,6 +25,10 @@
 ///
 /// A call whose relay fails is repeated at the registry, so its handler only sees failures of the
 /// registry. On a relay, the answers also serve the calls of other hosts.
+///
+/// The configuration may be large. A call that may return it waits for a relay before it goes to
+/// the registry, so that the hosts of a region do not read it over a small link all at once.
+/// Watches move to a relay as soon as one serves.
 class registry_source {
 public:
     enum class purpose : std::uint8_t {
@@ -58,7 +63,11 @@
         /// @name Calls to the registry. Handlers must be called after the function has returned.
         /// @{
         std::function<void(const list_items&, std::function<void(const item_page&)>)> list;
-        std::function<void(const watch_items&, std::function<void(const item_changes&)>)> watch;
+        /// @return Abandons the watch unless its answer is arriving: returns true, and the handler
+        /// is not called. Empty if it cannot be abandoned.
+        std::function<std::function<bool()>(const watch_items&,
+                                            std::function<void(const item_changes&)>)>
+            watch;
         /// @}
         /// @return False if the relay is not known.
         std::function<bool(const core::host_id& relay, const relay_request&)> send_request;
@@ -81,6 +90,8 @@
                     std::set<std::string> relayed_prefixes, relay_settings settings,
                     hooks functions);
 
+    /// @brief Makes a call. One to follow items ends an earlier watch that follows them, whose
+    /// handler may not be called any more.
     void list(const list_items& made, purpose reason, page_handler done);
     void watch(const watch_items& made, purpose reason, changes_handler done);
 
@@ -102,7 +113,8 @@
     void poll();
 
     /// @param configured Interval of proofs that the deployment requires; empty for none.
-    /// @return Time between proofs of the configuration. Empty if none is needed.
+    /// @return Time between proofs of the configuration. Empty if none is needed. Zero while calls
+    /// wait for a relay's proof.
     [[nodiscard]] std::optional<std::chrono::milliseconds>
     proof_interval(const std::optional<std::chrono::milliseconds>& configured) const;
 
@@ -113,6 +125,8 @@
         call made;
         purpose reason = purpose::follow;
         std::variant<page_handler, changes_handler> done;
+        /// Time at which it stops waiting for a relay, if it does.
+        std::optional<core::time_point> direct_at{};
     };
 
     struct relayed_call {
@@ -121,15 +135,35 @@
         core::time_point deadline;
     };
 
+    /// @brief A call to the registry that is not made yet.
     struct delayed_call {
         pending_call pending;
         core::time_point at;
+        /// It is sent to a relay instead if one serves first.
+        bool waits_for_relay = false;
+    };
+
+    /// @brief A watch that waits at the registry and may move to a relay.
+    struct direct_watch {
+        pending_call pending;
+        std::function<bool()> abandon;
     };
 
+    /// @brief Abandons the watch that a follower has given up: it would return each change again.
+    void abandon_watch(const std::string& prefix);
     void start(pending_call pending);
+    /// @return False if no relay may answer the call. The call is moved from otherwise.
     [[nodiscard]] bool send_to_relay(pending_call& pending);
+    /// @return True if the call may return a large document and a relay may answer it soon.
+    [[nodiscard]] bool may_wait_for_relay(const pending_call& pending) const;
+    void wait_for_relay(pending_call pending);
+    /// @brief Moves watches that wait elsewhere to the relay that serves now.
+    void move_watches();
+    void start_delayed();
     void call_registry(pending_call pending);
     void call_registry_now(pending_call pending);
+    void note_read(const registry_item& item, purpose reason, bool relayed);
+    [[nodiscard]] std::set<core::host_id> relays_waited_for() const;
     void finish(const pending_call& pending, const item_page& page, const origin& source);
     void finish(const pending_call& pending, const item_changes& changes, const origin& source);
     /// @return True if the answer is not older than what this host knows already.
@@ -144,6 +178,8 @@
         return known_revisions_[prefix];
     }
 
+    /// Key of the configuration.
+    std::string document_prefix_;
     std::set<std::string> relayed_prefixes_;
     hooks hooks_;
     relay_selector selector_;
@@ -153,6 +189,9 @@
     std::uint64_t last_number_ = 0;
     std::map<std::uint64_t, relayed_call> relayed_;
     std::vector<delayed_call> delayed_;
+    std::map<std::uint64_t, direct_watch> direct_watches_;
+    /// Size of the configuration that was last read; empty if none was.
+    std::optional<std::size_t> document_bytes_;
     /// Highest revision that an answer has shown, by prefix. Lists of relays below it are not used,
     /// as they would take back what this host knows.
     std::map<std::string, registry_revision> known_revisions_;
--- a/packages/proxy/include/lovagemoor/proxy/relay/relay_service.hpp
+++ b/packages/proxy/include/lovagemoor/proxy/relay/relay_service.hpp
@@ -122,6 +122,8 @@
     /// Counts returns of the registry, so that late answers to refreshes are ignored.
     std::uint64_t generation_ = 0;
     std::optional<core::time_point> asked_at_;
+    /// Time since when this host must keep its proof young.
+    core::time_point proof_wanted_since_;
     std::map<std::string, followed_items> followed_;
     /// Requests that wait for a proof.
     std::vector<waiting_request> unproved_;
--- a/packages/proxy/src/relay/registry_source.cpp
+++ b/packages/proxy/src/relay/registry_source.cpp
@@ -47,7 +47,8 @@
 registry_source::registry_source(core::host_id host, core::domain_id domain,
                                  std::string proved_prefix, std::set<std::string> relayed_prefixes,
                                  relay_settings settings, hooks functions)
-    : relayed_prefixes_{std::move(relayed_prefixes)},
+    : document_prefix_{proved_prefix},
+      relayed_prefixes_{std::move(relayed_prefixes)},
       hooks_{std::move(functions)},
       selector_{std::move(host), std::move(domain), settings},
       service_{std::move(proved_prefix), settings, internal::service_hooks(hooks_)} {}
@@ -56,6 +57,9 @@
     if (reason == purpose::follow && relayed_prefixes_.contains(made.prefix)) {
         service_.on_followed(made.prefix, made.may_be_stale);
     }
+    if (reason == purpose::follow) {
+        abandon_watch(made.prefix);
+    }
     start({made, reason, std::move(done)});
 }
 
@@ -63,15 +67,63 @@
     if (reason == purpose::follow && relayed_prefixes_.contains(made.prefix)) {
         service_.on_followed(made.prefix, false);
     }
+    if (reason == purpose::follow) {
+        abandon_watch(made.prefix);
+    }
     start({made, reason, std::move(done)});
 }
 
+void registry_source::abandon_watch(const std::string& prefix) {
+    const auto is_watch = [&prefix](const pending_call& pending) {
+        const watch_items* const watch = std::get_if<watch_items>(&pending.made);
+        return watch != nullptr && pending.reason == purpose::follow && watch->prefix == prefix;
+    };
+    std::erase_if(direct_watches_, [&](auto& entry) {
+        return is_watch(entry.second.pending) && entry.second.abandon();
+    });
+    std::erase_if(delayed_, [&](const auto& delayed) { return is_watch(delayed.pending); });
+    for (auto entry = relayed_.begin(); entry != relayed_.end();) {
+        if (is_watch(entry->second.pending)) {
+            hooks_.on_settled(entry->second.relay);
+            entry = relayed_.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+}
+
 void registry_source::start(pending_call pending) {
-    if (!send_to_relay(pending)) {
+    if (send_to_relay(pending)) {
+        return;
+    }
+    if (may_wait_for_relay(pending)) {
+        wait_for_relay(std::move(pending));
+    } else {
         call_registry(std::move(pending));
     }
 }
 
+bool registry_source::may_wait_for_relay(const pending_call& pending) const {
+    // Until the first document has been read, it may be large.
+    const bool large = !document_bytes_.has_value() ||
+                       *document_bytes_ >= selector_.settings().large_document_bytes;
+    return large && internal::prefix_of(pending.made) == document_prefix_ &&
+           selector_.document_delay().count() > 0;
+}
+
+void registry_source::wait_for_relay(pending_call pending) {
+    const core::time_point now = hooks_.now();
+    if (!pending.direct_at.has_value()) {
+        pending.direct_at = now + selector_.document_delay();
+    }
+    const core::time_point at = *pending.direct_at;
+    if (now >= at) {
+        call_registry_now(std::move(pending));
+    } else {
+        delayed_.push_back({std::move(pending), at, true});
+    }
+}
+
 bool registry_source::send_to_relay(pending_call& pending) {
     if (!relayed_prefixes_.contains(internal::prefix_of(pending.made))) {
         return false;
@@ -82,6 +134,9 @@
     if (!relay.has_value()) {
         return false;
     }
+    if (*relay == selector_.relay(now)) {
+        pending.direct_at.reset();
+    }
     const std::uint64_t number = ++last_number_;
     if (!hooks_.send_request(*relay, {number, pending.made, hooks_.current_era()})) {
         return false;
@@ -125,15 +180,22 @@
                 });
             },
             [&](const watch_items& made) {
-                hooks_.watch(made,
-                             [this, sent, made, is_current, pending](const item_changes& changes) {
-                                 if (is_current()) {
-                                     service_.on_changes(sent, made, changes);
-                                     finish(pending, changes, {});
-                                 } else {
-                                     std::get<changes_handler>(pending.done)(changes, {});
-                                 }
-                             });
+                const std::uint64_t number = ++last_number_;
+                std::function<bool()> abandon =
+                    hooks_.watch(made, [this, number, sent, made, is_current,
+                                        pending](const item_changes& changes) {
+                        if (is_current()) {
+                            direct_watches_.erase(number);
+                            service_.on_changes(sent, made, changes);
+                            finish(pending, changes, {});
+                        } else {
+                            std::get<changes_handler>(pending.done)(changes, {});
+                        }
+                    });
+                if (pending.reason == purpose::follow && abandon &&
+                    relayed_prefixes_.contains(made.prefix)) {
+                    direct_watches_.emplace(number, direct_watch{pending, std::move(abandon)});
+                }
             },
         },
         pending.made);
@@ -142,7 +204,7 @@
 void registry_source::finish(const pending_call& pending, const item_page& page,
                              const origin& source) {
     for (const registry_item& item : page.items) {
-        hooks_.on_item_read(item, pending.reason, source.relayed);
+        note_read(item, pending.reason, source.relayed);
     }
     const auto& made = std::get<list_items>(pending.made);
     if (page.status == registry_status::done && !made.may_be_stale) {
@@ -158,7 +220,7 @@
 void registry_source::finish(const pending_call& pending, const item_changes& changes,
                              const origin& source) {
     for (const item_change& change : changes.changes) {
-        hooks_.on_item_read(change.item, pending.reason, source.relayed);
+        note_read(change.item, pending.reason, source.relayed);
     }
     if (changes.status == registry_status::done) {
         registry_revision& known = known_revision(internal::prefix_of(pending.made));
@@ -167,6 +229,13 @@
     std::get<changes_handler>(pending.done)(changes, source);
 }
 
+void registry_source::note_read(const registry_item& item, purpose reason, bool relayed) {
+    if (item.key == document_prefix_) {
+        document_bytes_ = item.value.size();
+    }
+    hooks_.on_item_read(item, reason, relayed);
+}
+
 void registry_source::on_peers(const std::vector<link_peer>& peers) {
     selector_.on_peers(peers);
     service_.set_active(selector_.is_relay());
@@ -185,6 +254,7 @@
     ++generation_;
     known_revisions_.clear();
     delayed_.clear();
+    direct_watches_.clear();
     for (const auto& [number, waiting] : std::exchange(relayed_, {})) {
         hooks_.on_settled(waiting.relay);
     }
@@ -236,7 +306,8 @@
         call_registry(std::move(pending));
         return;
     }
-    if (pending.reason == purpose::prove) {
+    const bool proved = pending.reason == purpose::prove;
+    if (proved) {
         selector_.on_proof(relay);
     }
     std::visit(
@@ -244,6 +315,40 @@
             finish(pending, result, {true, answer.proof_age});
         },
         answer.result);
+    if (proved && generation == generation_) {
+        move_watches();
+        start_delayed();
+    }
+}
+
+void registry_source::move_watches() {
+    const std::optional<core::host_id> relay = selector_.relay(hooks_.now());
+    if (!relay.has_value()) {
+        return;
+    }
+    std::vector<pending_call> moved;
+    for (auto entry = direct_watches_.begin(); entry != direct_watches_.end();) {
+        if (entry->second.abandon()) {
+            moved.push_back(std::move(entry->second.pending));
+            entry = direct_watches_.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+    for (auto entry = relayed_.begin(); entry != relayed_.end();) {
+        const relayed_call& waiting = entry->second;
+        if (waiting.relay != *relay && waiting.pending.reason == purpose::follow &&
+            std::holds_alternative<watch_items>(waiting.pending.made)) {
+            hooks_.on_settled(waiting.relay);
+            moved.push_back(std::move(entry->second.pending));
+            entry = relayed_.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+    for (pending_call& pending : moved) {
+        start(std::move(pending));
+    }
 }
 
 void registry_source::on_relay_lost(const core::host_id& relay) {
@@ -274,14 +379,35 @@
         }
     }
     for (pending_call& pending : left) {
-        call_registry(std::move(pending));
+        // The next relay is asked at once for a large document only. For other calls, a relay that
+        // does not answer either would delay the change further.
+        if (may_wait_for_relay(pending)) {
+            start(std::move(pending));
+        } else {
+            call_registry(std::move(pending));
+        }
     }
 }
 
 void registry_source::on_request(relay_service::requester sender, const relay_request& request) {
+    if (selector_.on_asked(hooks_.now())) {
+        service_.set_active(true);
+        // A relay answers from what it reads itself.
+        for (const core::host_id& relay : relays_waited_for()) {
+            leave_relay(relay);
+        }
+    }
     service_.on_request(sender, request);
 }
 
+std::set<core::host_id> registry_source::relays_waited_for() const {
+    std::set<core::host_id> relays;
+    for (const auto& [number, waiting] : relayed_) {
+        relays.insert(waiting.relay);
+    }
+    return relays;
+}
+
 void registry_source::on_requester_lost(relay_service::requester sender) {
     service_.on_requester_lost(sender);
 }
@@ -297,19 +423,37 @@
     for (const core::host_id& relay : late) {
         fail_relay(relay, "timed_out");
     }
+    start_delayed();
+    if (selector_.end_standby(now)) {
+        service_.set_active(false);
+    }
+    service_.poll();
+}
+
+void registry_source::start_delayed() {
+    const core::time_point now = hooks_.now();
     for (delayed_call& delayed : std::exchange(delayed_, {})) {
-        if (now >= delayed.at) {
+        if (delayed.waits_for_relay && send_to_relay(delayed.pending)) {
+            continue;
+        }
+        const bool waits_in_vain = delayed.waits_for_relay && !may_wait_for_relay(delayed.pending);
+        if (now >= delayed.at || waits_in_vain) {
             call_registry_now(std::move(delayed.pending));
         } else {
             delayed_.push_back(std::move(delayed));
         }
     }
-    service_.poll();
 }
 
 std::optional<std::chrono::milliseconds>
 registry_source::proof_interval(const std::optional<std::chrono::milliseconds>& configured) const {
-    const bool asks = selector_.relay_for_proof(hooks_.now()).has_value();
+    const core::time_point now = hooks_.now();
+    const bool asks = selector_.relay_for_proof(now).has_value();
+    const bool waits = std::any_of(delayed_.begin(), delayed_.end(),
+                                   [](const auto& delayed) { return delayed.waits_for_relay; });
+    if (asks && waits && !selector_.relay(now).has_value()) {
+        return std::chrono::milliseconds{0};
+    }
     if (!asks && !service_.proof_wanted()) {
         return configured;
     }
--- a/packages/proxy/src/relay/relay_service.cpp
+++ b/packages/proxy/src/relay/relay_service.cpp
@@ -80,13 +80,19 @@
         refuse(sender, request, relay_refusal::not_relay);
         return;
     }
-    asked_at_ = hooks_.now();
-    const waiting_request waiting{sender, request, *asked_at_ + proof_wait};
+    const core::time_point now = hooks_.now();
+    if (!proof_wanted()) {
+        proof_wanted_since_ = now;
+    }
+    asked_at_ = now;
+    const waiting_request waiting{sender, request, now + proof_wait};
+    // If earlier proofs have failed, the next one is not likely to come within the wait.
+    const bool may_wait = now - proof_wanted_since_ <= settings_.proof_age_max;
     if (internal::is_ahead(request.era, hooks_.current_era())) {
         refuse(sender, request, relay_refusal::outdated_era);
     } else if (has_recent_proof()) {
         handle(waiting, true);
-    } else if (unproved_.size() < max_watches) {
+    } else if (may_wait && unproved_.size() < max_watches) {
         unproved_.push_back(waiting);
         const auto proved = followed_.find(proved_prefix_);
         if (proved != followed_.end() && !proved->second.cache.known()) {
@@ -311,7 +317,8 @@
         if (found != watchers_.end()) {
             const watcher target = std::move(found->second);
             watchers_.erase(found);
-            hooks_.answer(target.sender, relay_answer{target.number, reason, item_changes{}, proof_age()});
+            hooks_.answer(target.sender,
+                          relay_answer{target.number, reason, item_changes{}, proof_age()});
         }
     }
 }
--- a/packages/proxy/test/relay/registry_source_test.cpp
+++ b/packages/proxy/test/relay/registry_source_test.cpp
@@ -54,6 +54,10 @@
         result.watch = [this](const watch_items& made,
                               std::function<void(const item_changes&)> done) {
             watches.emplace_back(made, std::move(done));
+            return [this, index = watches.size() - 1] {
+                abandoned.push_back(watches[index].first.prefix);
+                return true;
+            };
         };
         result.send_request = [this](const core::host_id& relay, const relay_request& request) {
             requests.emplace_back(relay, request);
@@ -66,9 +70,7 @@
         result.on_call = [](const registry_source::call&, purpose, bool) {};
         result.on_item_read = [](const registry_item&, purpose, bool) {};
         result.on_relay_failure = [this](const core::host_id&, const char* reason,
-                                         std::chrono::milliseconds) {
-            failure = reason;
-        };
+                                         std::chrono::milliseconds) { failure = reason; };
         return result;
     }
 
@@ -89,6 +91,7 @@
     std::optional<registry_era> era = 2;
     std::vector<std::pair<list_items, std::function<void(const item_page&)>>> lists;
     std::vector<std::pair<watch_items, std::function<void(const item_changes&)>>> watches;
+    std::vector<std::string> abandoned;
     std::vector<std::pair<core::host_id, relay_request>> requests;
     std::vector<relay_answer> answers;
     std::string failure;
@@ -234,4 +237,61 @@
     BOOST_TEST((host.answers.back().refusal == relay_refusal::outdated_era));
 }
 
+// Guards against a watch that stays at the registry for its whole wait though a relay serves, so
+// that a change reaches the host past its relays (CONFIG, issue 54).
+BOOST_AUTO_TEST_CASE(a_watch_moves_to_a_relay_that_has_given_a_proof) {
+    recorded_host host{false};
+    host.source->watch({"servers/", 10, 25s}, purpose::follow,
+                       [](const item_changes&, const registry_source::origin&) {});
+    BOOST_TEST_REQUIRE(host.watches.size() == 1U);
+    host.prove();
+    BOOST_TEST((host.abandoned == std::vector<std::string>{"servers/"}));
+    BOOST_TEST_REQUIRE(host.requests.size() == 2U);
+    BOOST_TEST(host.requests.back().second.prefix() == "servers/");
+}
+
+// Guards against a watch that its follower has given up and that still returns each change.
+BOOST_AUTO_TEST_CASE(a_watch_that_is_replaced_is_abandoned) {
+    recorded_host host{false};
+    for (int made = 0; made < 2; ++made) {
+        host.source->watch({"servers/", 10, 25s}, purpose::follow,
+                           [](const item_changes&, const registry_source::origin&) {});
+    }
+    BOOST_TEST((host.abandoned == std::vector<std::string>{"servers/"}));
+}
+
+// Guards against a large document that the hosts of a lost relay read from the registry at once,
+// and against one that waits for relays that do not answer.
+BOOST_AUTO_TEST_CASE(a_large_document_waits_for_a_relay_for_a_bounded_time) {
+    recorded_host host{false};
+    host.prove();
+    host.source->watch({"op/config", 10, 25s}, purpose::follow,
+                       [](const item_changes&, const registry_source::origin&) {});
+    host.source->on_relay_lost(host.requests.back().first);
+    host.now += relay_settings{}.document_delay_min - 1ms;
+    host.source->poll();
+    BOOST_TEST(host.watches.empty());
+    BOOST_TEST((host.source->proof_interval(std::nullopt) == 0ms));
+    host.now += relay_settings{}.document_delay_max - relay_settings{}.document_delay_min + 1ms;
+    host.source->poll();
+    BOOST_TEST(host.watches.size() == 1U);
+}
+
+// Guards against hosts without a relay whose link to their relays is lost: the next one serves.
+BOOST_AUTO_TEST_CASE(a_host_that_is_asked_serves_as_a_relay_for_a_time) {
+    recorded_host host{false};
+    host.source->list({"op/config", {}, false}, purpose::follow,
+                      [](const item_page&, const registry_source::origin&) {});
+    host.prove();
+    host.source->on_request(1, {7, list_items{"op/config", {}, false}, 2});
+    BOOST_TEST(host.source->selector().is_relay());
+    BOOST_TEST_REQUIRE(!host.lists.empty());
+    host.lists.back().second({registry_status::done, {{"op/config", "v", 5, 0}}, false, 12, 2});
+    BOOST_TEST_REQUIRE(host.answers.size() == 1U);
+    BOOST_TEST((host.answers.back().refusal == relay_refusal::none));
+    host.now += relay_settings{}.standby_retention;
+    host.source->poll();
+    BOOST_TEST(!host.source->selector().is_relay());
+}
+
 } // namespace lovagemoor::proxy
--- a/packages/proxy/test/relay/relay_choice_test.cpp
+++ b/packages/proxy/test/relay/relay_choice_test.cpp
@@ -35,7 +35,7 @@
 BOOST_AUTO_TEST_CASE(relays_do_not_depend_on_the_order_of_the_list) {
     std::vector<link_peer> peers = make_peers(40);
     const std::vector<core::host_id> relays = relays_of_domain(peers, core::domain_id{"a"});
-    BOOST_TEST_REQUIRE(relays.size() == relays_per_domain);
+    BOOST_TEST_REQUIRE(relays.size() == relays_per_group);
     std::reverse(peers.begin(), peers.end());
     BOOST_TEST((relays_of_domain(peers, core::domain_id{"a"}) == relays));
 }
@@ -65,7 +65,7 @@
             ++hosts_of_relay[asked.front()];
         }
     }
-    BOOST_TEST(hosts_of_relay.size() == 2 * relays_per_domain);
+    BOOST_TEST(hosts_of_relay.size() == 2 * relays_per_group);
     for (const auto& [relay, count] : hosts_of_relay) {
         BOOST_TEST(count >= 18, relay.value); // Half of the mean
     }
@@ -89,6 +89,46 @@
                 std::set<core::host_id>{peers.at(4).host, peers.at(30).host}));
 }
 
+// Guards against a region in which the number of hosts that read a configuration over its link to
+// the registry grows with its failure domains, and whose relays are lost with one of them.
+BOOST_AUTO_TEST_CASE(the_hosts_of_a_region_share_relays_in_several_domains) {
+    std::vector<link_peer> peers = make_peers(40);
+    for (std::size_t index = 0; index < peers.size(); ++index) {
+        peers[index].region = index % 4 < 2 ? "near" : "far";
+        peers[index].domain = core::domain_id{peers[index].region + std::to_string(index % 3)};
+    }
+    std::set<core::host_id> relays;
+    for (const link_peer& peer : peers) {
+        std::set<core::domain_id> domains;
+        for (const core::host_id& relay : relays_of_domain(peers, peer.domain)) {
+            const auto listed =
+                std::find_if(peers.begin(), peers.end(),
+                             [&relay](const auto& each) { return each.host == relay; });
+            BOOST_TEST(listed->region == peer.region);
+            domains.insert(listed->domain);
+            relays.insert(relay);
+        }
+        BOOST_TEST(domains.size() == relays_per_group);
+    }
+    BOOST_TEST(relays.size() == 2 * relays_per_group);
+}
+
+// Guards against hosts that look for a standby in different orders, so that many of them serve, and
+// against a host that asks itself.
+BOOST_AUTO_TEST_CASE(hosts_ask_the_same_standbys) {
+    const std::vector<link_peer> peers = make_peers(80);
+    std::vector<core::host_id> common;
+    for (const link_peer& peer : peers) {
+        std::vector<core::host_id> standbys = standbys_for(peers, peer.host, peer.domain);
+        BOOST_TEST(std::count(standbys.begin(), standbys.end(), peer.host) == 0);
+        if (standbys.size() == standbys_per_group && peer.domain == core::domain_id{"a"}) {
+            common = common.empty() ? standbys : common;
+            BOOST_TEST((standbys == common));
+        }
+    }
+    BOOST_TEST(common.size() == standbys_per_group);
+}
+
 // Guards against small hosts that must serve as many others as large ones.
 BOOST_AUTO_TEST_CASE(hosts_are_chosen_in_proportion_to_their_weights) {
     int heavy_chosen = 0;
--- a/packages/proxy/test/relay/relay_selector_test.cpp
+++ b/packages/proxy/test/relay/relay_selector_test.cpp
@@ -64,8 +64,8 @@
         relays += selector.is_relay() ? 1 : 0;
         askers += selector.relay_for_proof(start).has_value() ? 1 : 0;
     }
-    BOOST_TEST(relays == (sample.relayed ? relays_per_domain : 0));
-    BOOST_TEST(askers == (sample.relayed ? sample.hosts - relays_per_domain : 0));
+    BOOST_TEST(relays == (sample.relayed ? relays_per_group : 0));
+    BOOST_TEST(askers == (sample.relayed ? sample.hosts - relays_per_group : 0));
 }
 
 // Guards against a host that is not in the list yet and becomes a relay for nobody.
--- a/programs/lovagemoord/src/registry_relay.cpp
+++ b/programs/lovagemoord/src/registry_relay.cpp
@@ -263,7 +263,7 @@
     };
     result.watch = [this](const proxy::watch_items& made,
                           std::function<void(const proxy::item_changes&)> done) {
-        client_.watch(made, std::move(done));
+        return client_.watch(made, std::move(done));
     };
     result.send_request = [this](const core::host_id& relay, const proxy::relay_request& request) {
         return send_request(relay, request);
@@ -284,7 +284,7 @@
     };
     result.on_item_read = [this, now = result.now, count = functions.count, log = functions.log](
                               const proxy::registry_item& item, purpose reason, bool relayed) {
-        if (item.value.size() < large_document_bytes) {
+        if (!is_large(item.value.size())) {
             return;
         }
         const char* const source = relayed ? "relay" : "registry";
@@ -381,6 +381,10 @@
     source_.on_restored();
 }
 
+bool registry_relay::is_large(std::size_t bytes) const {
+    return bytes >= source_.selector().settings().large_document_bytes;
+}
+
 void registry_relay::poll() {
     source_.poll();
 }
--- a/programs/lovagemoord/src/registry_relay.hpp
+++ b/programs/lovagemoord/src/registry_relay.hpp
@@ -27,10 +27,6 @@
     using page_handler = proxy::registry_source::page_handler;
     using changes_handler = proxy::registry_source::changes_handler;
 
-    /// Size from which the document of the configuration counts as large: a twentieth of a second
-    /// of a network link of 10 Mbit/s, the smallest of the reference deployments.
-    static constexpr std::size_t large_document_bytes = std::size_t{64} * 1024;
-
     struct configuration {
         core::host_id host;
         core::domain_id domain;
@@ -62,6 +58,9 @@
     /// relays are not called any more.
     void on_restored();
 
+    /// @return True if a document of this size must not be read by many hosts at once.
+    [[nodiscard]] bool is_large(std::size_t bytes) const;
+
     /// @brief Makes calls that are due. To be called several times a second.
     void poll();
 
--- a/programs/lovagemoord/src/session_host.cpp
+++ b/programs/lovagemoord/src/session_host.cpp
@@ -47,6 +47,11 @@
 constexpr std::chrono::seconds first_hosts_poll_interval{1};
 constexpr std::chrono::seconds first_hosts_polls_time{6};
 
+/// Time for which the first read of the configuration waits for the list of hosts if there are
+/// several regions, so that it can go to a relay: hosts that start again together must not read a
+/// large document over a small link all at once. It is that of opening a connection.
+constexpr std::chrono::milliseconds first_hosts_wait{500};
+
 /// Pauses between watches, so that few calls suffice to learn of targets that start together and of
 /// configurations in quick succession. The last change of a series is in force 1 s later; the
 /// tightest bound of the reference deployments is 3 s.
@@ -105,6 +110,13 @@
     return result;
 }
 
+bool has_several_regions(const settings::session_settings& settings) {
+    return std::any_of(settings.domain_regions.begin(), settings.domain_regions.end(),
+                       [&settings](const auto& entry) {
+                           return entry.second != settings.domain_regions.begin()->second;
+                       });
+}
+
 /// Part of the descriptors for callers that is always left to them, also with a large reserve.
 constexpr std::size_t min_caller_divisor = 2;
 
@@ -523,7 +535,7 @@
     slow_down_hosts_polls();
     registry_relay_->poll();
     maintain_registration();
-    run_follower(configuration_follower_);
+    read_configuration();
     run_follower(targets_follower_);
     run_follower(hosts_follower_);
     for (const std::shared_ptr<proxy::registry_follower>& follower :
@@ -533,7 +545,6 @@
         }
     }
     check_watches();
-    prove_configuration();
     update_quota_exchange();
     report_traffic();
     registry_timer_.expires_after(internal::registry_poll_interval);
@@ -544,6 +555,16 @@
     });
 }
 
+void session_host::read_configuration() {
+    const bool knows_relays = hosts_listed_ || !internal::has_several_regions(settings_) ||
+                              internal::now() - started_at_ >= internal::first_hosts_wait;
+    if (knows_relays) {
+        // Before the follower, whose calls go to a relay once it has given a proof.
+        prove_configuration();
+        run_follower(configuration_follower_);
+    }
+}
+
 void session_host::report_traffic() {
     const std::size_t unsent = link_router_.has_value() ? link_router_->unsent_bytes() : 0;
     const std::optional<core::log_event> line =
@@ -581,7 +602,7 @@
 
 std::optional<std::chrono::milliseconds> session_host::required_proof_interval() const {
     std::optional<std::chrono::milliseconds> required;
-    if (applied_configuration_.bytes >= registry_relay::large_document_bytes) {
+    if (registry_relay_->is_large(applied_configuration_.bytes)) {
         required = internal::watch_check_interval;
     }
     if (settings_.key_withdrawal.count() > 0) {
@@ -611,7 +632,7 @@
             return;
         }
         const bool unanswered = status == proxy::registry_status::unknown;
-        if (unanswered && applied_configuration_.bytes >= registry_relay::large_document_bytes &&
+        if (unanswered && registry_relay_->is_large(applied_configuration_.bytes) &&
             !registry_client_.receiving()) {
             // As after a failed check, whose place the proof takes.
             restart_watches();
@@ -843,9 +864,8 @@
 void session_host::check_watches() {
     for (const std::shared_ptr<proxy::registry_follower>* const slot : watching_followers()) {
         // Proofs take the place of checks that would transfer a large document each time.
-        if (*slot == nullptr ||
-            (*slot == configuration_follower_ &&
-             applied_configuration_.bytes >= registry_relay::large_document_bytes)) {
+        if (*slot == nullptr || (*slot == configuration_follower_ &&
+                                 registry_relay_->is_large(applied_configuration_.bytes))) {
             continue;
         }
         const core::time_point time = internal::now();
@@ -1028,6 +1048,9 @@
         registry_relay_->set_peers(links.peers);
         handle(links);
     }
+    if (!std::exchange(hosts_listed_, true)) {
+        read_configuration();
+    }
 }
 
 void session_host::apply_demotions(const proxy::registry_follower::update& update) {
--- a/programs/lovagemoord/src/session_host.hpp
+++ b/programs/lovagemoord/src/session_host.hpp
@@ -126,6 +126,7 @@
     void resume_configuration_watch();
     /// @return Interval of proofs that this host itself needs; empty for none.
     [[nodiscard]] std::optional<std::chrono::milliseconds> required_proof_interval() const;
+    void read_configuration();
     void poll_registry();
     void report_traffic();
     [[nodiscard]] gateway::http_server::response
@@ -191,6 +192,8 @@
     bool ready_ = false;
     core::time_point started_at_;
     bool hosts_polls_slowed_ = false;
+    /// The list of hosts was read at least once.
+    bool hosts_listed_ = false;
     std::optional<core::time_point> stop_requested_at_;
     proxy::promotion_lock_claim lock_claim_;
     /// Empty if quotas are not enforced.
